--- /dev/null
+++ b/src/main/kotlin/org/elderhitch/cluster/Cluster.kt
@@ -0,0 +1,199 @@
+package org.elderhitch.cluster
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.protobuf.ProtoBuf
+import kotlinx.serialization.protobuf.ProtoNumber
+import org.elderhitch.http.Handler
+import org.elderhitch.http.HttpServer
+import org.elderhitch.http.Request
+import org.elderhitch.http.Response
+import org.elderhitch.http.Transport
+import org.elderhitch.jobs.JobId
+import org.elderhitch.leadership.Former
+import org.elderhitch.leadership.Incarnation
+import org.elderhitch.leadership.Tenure
+import org.elderhitch.leadership.Term
+import org.elderhitch.settings.NodeName
+import org.elderhitch.settings.Peer
+import org.elderhitch.time.Moment
+import org.elderhitch.time.SteadyClock
+import org.slf4j.LoggerFactory
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** What controllers tell each other about once a second. */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+public data class Hello(
+    @ProtoNumber(1) val node: String,
+    @ProtoNumber(2) val run: String,
+    /** The highest term that the node knows of. */
+    @ProtoNumber(3) val term: Long,
+    @ProtoNumber(4) val leading: Boolean,
+    /** Whether the state service answers this node. */
+    @ProtoNumber(5) val reachesState: Boolean,
+    /** From the leader: how many tasks of each job run. */
+    @ProtoNumber(6) val running: Map<String, Int> = emptyMap(),
+)
+
+/** A user's request that a node which the state service refuses hands to one that it doesn't. */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+public class Forwarded(
+    @ProtoNumber(1) public val method: String,
+    @ProtoNumber(2) public val path: String,
+    @ProtoNumber(3) public val body: ByteArray,
+)
+
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+public class ForwardedAnswer(
+    @ProtoNumber(1) public val status: Int,
+    @ProtoNumber(2) public val body: ByteArray,
+    @ProtoNumber(3) public val headers: Map<String, String> = emptyMap(),
+)
+
+/** What this node says of itself, and what it does with what others say. */
+public interface ClusterPorts {
+    public fun tenure(): Tenure
+
+    public fun reachesState(): Boolean
+
+    public fun running(): Map<JobId, Int>
+
+    public fun termSeen(term: Term)
+
+    public fun formerStopped(term: Term)
+
+    public fun leaderCounts(counts: Map<JobId, Int>)
+
+    /** Answers a user's request here, whatever it takes, without handing it on. */
+    public suspend fun serve(request: Request): Response
+}
+
+@OptIn(ExperimentalSerializationApi::class)
+public class Cluster(
+    private val scope: CoroutineScope,
+    private val self: NodeName,
+    private val incarnation: Incarnation,
+    private val peers: List<Peer>,
+    private val transport: Transport,
+    private val clock: SteadyClock,
+    private val ports: ClusterPorts,
+) : Handler {
+    private class PeerState(val peer: Peer) {
+        var reachesState = false
+        var heard = Moment.NEVER
+    }
+
+    private val log = LoggerFactory.getLogger("elderhitch.cluster")
+    private val states = peers.associate { it.name to PeerState(it) }
+
+    public fun start() {
+        for (state in states.values) {
+            scope.launch {
+                while (true) {
+                    greet(state)
+                    delay(HELLO_EVERY)
+                }
+            }
+        }
+    }
+
+    private fun hello(): Hello {
+        val tenure = ports.tenure()
+        val leading = tenure is Tenure.Leading
+        val term = when (tenure) {
+            is Tenure.Leading -> tenure.term
+            is Tenure.Following -> tenure.term
+        }
+        val running = if (leading) ports.running().entries.associate { it.key.text to it.value } else emptyMap()
+        return Hello(self.text, incarnation.text, term.number, leading, ports.reachesState(), running)
+    }
+
+    private suspend fun greet(state: PeerState) {
+        val body = ProtoBuf.encodeToByteArray(Hello.serializer(), hello())
+        val answer = transport.call(state.peer.address, "POST", "/cluster/hello", body, HELLO_TIMEOUT)
+        if (answer == null || answer.status != OK) {
+            state.reachesState = false
+            return
+        }
+        decoded(answer.body, Hello.serializer())?.let(::heard)
+    }
+
+    private fun heard(hello: Hello) {
+        val state = states[NodeName(hello.node)] ?: return
+        state.reachesState = hello.reachesState
+        state.heard = clock.now()
+        ports.termSeen(Term(hello.term))
+        if (hello.leading) ports.leaderCounts(hello.running.mapNotNull { (id, n) -> JobId.parse(id)?.let { it to n } }.toMap())
+        val leading = ports.tenure() as? Tenure.Leading ?: return
+        if (leading.former?.let { stopped(it, hello, leading) } == true) ports.formerStopped(leading.term)
+    }
+
+    /** A new run has ended the old one; and whoever knows our term answers no worker with an older one. */
+    private fun stopped(former: Former, hello: Hello, leading: Tenure.Leading): Boolean =
+        former.node.text == hello.node && (former.incarnation.text != hello.run || !hello.leading && hello.term >= leading.term.number)
+
+    override suspend fun handle(request: Request): Response = when (request.path) {
+        "/cluster/hello" -> {
+            val hello = decoded(request.body, Hello.serializer())
+            if (hello == null) {
+                HttpServer.refusal(BAD, "no hello")
+            } else {
+                heard(hello)
+                binary(ProtoBuf.encodeToByteArray(Hello.serializer(), hello()))
+            }
+        }
+        "/cluster/forward" -> {
+            val forwarded = decoded(request.body, Forwarded.serializer())
+            if (forwarded == null) {
+                HttpServer.refusal(BAD, "no request")
+            } else {
+                val answer = ports.serve(Request(forwarded.method, forwarded.path, emptyMap(), forwarded.body))
+                binary(ProtoBuf.encodeToByteArray(ForwardedAnswer.serializer(), ForwardedAnswer(answer.status, answer.body, answer.headers)))
+            }
+        }
+        else -> HttpServer.refusal(NOT_FOUND, "no such path")
+    }
+
+    /** Has a controller that reaches the state service answer; null: none does. */
+    public suspend fun forward(request: Request): Response? {
+        val now = clock.now()
+        for (state in states.values.filter { it.reachesState && now - it.heard < FRESH }) {
+            val body = ProtoBuf.encodeToByteArray(Forwarded.serializer(), Forwarded(request.method, request.path, request.body))
+            val answer = transport.call(state.peer.address, "POST", "/cluster/forward", body, FORWARD_TIMEOUT)
+            if (answer == null || answer.status != OK) continue
+            val inner = decoded(answer.body, ForwardedAnswer.serializer()) ?: continue
+            return Response(inner.status, inner.body, inner.headers)
+        }
+        return null
+    }
+
+    private fun binary(bytes: ByteArray) = Response(OK, bytes, contentType = "application/x-protobuf")
+
+    private fun <T> decoded(bytes: ByteArray, serializer: kotlinx.serialization.KSerializer<T>): T? = try {
+        ProtoBuf.decodeFromByteArray(serializer, bytes)
+    } catch (e: SerializationException) {
+        log.info("malformed message reason=\"{}\"", e.message)
+        null
+    } catch (e: IllegalArgumentException) {
+        log.info("malformed message reason=\"{}\"", e.message)
+        null
+    }
+
+    private companion object {
+        const val OK = 200
+        const val BAD = 400
+        const val NOT_FOUND = 404
+        val HELLO_EVERY = 1.seconds
+        val HELLO_TIMEOUT = 1.seconds
+        val FORWARD_TIMEOUT = 1500.milliseconds
+        val FRESH = 3.seconds
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/elderhitch/fleet/CloudClient.kt
@@ -0,0 +1,148 @@
+package org.elderhitch.fleet
+
+import org.elderhitch.http.Address
+import org.elderhitch.http.Response
+import org.elderhitch.http.Transport
+import org.elderhitch.jobs.MachineType
+import org.elderhitch.jobs.Resources
+import org.elderhitch.json.Json
+import org.elderhitch.json.JsonObject
+import org.elderhitch.json.MalformedJson
+import org.elderhitch.settings.Zone
+import org.elderhitch.store.Purpose
+import org.elderhitch.store.RateBudget
+import org.elderhitch.workers.MachineId
+import org.slf4j.LoggerFactory
+import kotlin.time.Duration.Companion.seconds
+
+public sealed interface HireOutcome {
+    public data class Hired(val machines: List<MachineId>) : HireOutcome
+    public data object NoCapacity : HireOutcome
+
+    /** Malformed, by the cloud's word: never to be repeated. */
+    public data object Rejected : HireOutcome
+
+    /** Perhaps carried out, perhaps later: the same request must be made again. */
+    public data object Unknown : HireOutcome
+}
+
+public class ListedMachine(public val machine: Machine, public val state: String, public val address: Address?)
+
+public class CloudClient(private val transport: Transport, private val address: Address, private val budget: RateBudget) {
+    private val log = LoggerFactory.getLogger("elderhitch.fleet")
+
+    public suspend fun catalog(): Catalog? {
+        val response = call("GET", "/flavors", null, Purpose.PROGRESS) ?: return null
+        if (response.status != OK) return null
+        return decoded(null) {
+            val types = Json.parseObject(response.body).objects("rigs").map(::type)
+            if (types.isEmpty()) null else Catalog(types.associateBy { it.name })
+        }
+    }
+
+    private fun type(from: JsonObject): TypeInfo = CatalogCodec.decode(from)
+
+    public suspend fun hire(name: String, market: Market, count: Int): HireOutcome {
+        val body = Json.bytes(
+            linkedMapOf(
+                "hire" to name,
+                "rig" to market.type.name,
+                "hall" to market.zone.name,
+                "borrowedRigs" to market.spot,
+                "count" to count,
+            ),
+        )
+        val response = call("POST", "/machines", body, Purpose.RECORD) ?: return HireOutcome.Unknown
+        return decoded(HireOutcome.Unknown) {
+            when (response.status) {
+                OK -> HireOutcome.Hired(Json.parseObject(response.body).stringsOrNull("stalls").orEmpty().map(::MachineId))
+                BUSY -> if (response.body.decodeToString().contains("no capacity")) HireOutcome.NoCapacity else HireOutcome.Unknown
+                BAD -> HireOutcome.Rejected
+                else -> HireOutcome.Unknown
+            }
+        }
+    }
+
+    /** True: they are gone, and all that was on them. */
+    public suspend fun release(machines: List<MachineId>): Boolean {
+        check(machines.size <= MOST_RELEASED) { "${machines.size} machines in a request" }
+        val body = Json.bytes(mapOf("stalls" to machines.map { it.text }))
+        return call("POST", "/machines/release", body, Purpose.LEADERSHIP)?.status == OK
+    }
+
+    /** All machines, or null when some page could not be had. */
+    public suspend fun list(): List<ListedMachine>? {
+        val all = ArrayList<ListedMachine>()
+        var after: String? = null
+        while (true) {
+            val target = "/machines?page=$PAGE" + (after?.let { "&after=$it" } ?: "")
+            val response = call("GET", target, null, Purpose.OTHER) ?: return null
+            if (response.status != OK) return null
+            val more = decoded(null) {
+                val body = Json.parseObject(response.body)
+                body.objects("stalls").mapTo(all) {
+                    ListedMachine(
+                        Machine(MachineId(it.string("id")), MachineType(it.string("rig")), Zone(it.string("hall")), it.boolean("borrowedRigs")),
+                        it.string("standing"),
+                        it.stringOrNull("addr")?.let(Address::parse),
+                    )
+                }
+                body.boolean("more")
+            } ?: return null
+            if (!more) return all
+            after = all.lastOrNull()?.machine?.id?.text ?: return all
+        }
+    }
+
+    private suspend fun call(method: String, target: String, body: ByteArray?, purpose: Purpose): Response? {
+        if (!budget.take(purpose, 1, PATIENCE)) return null
+        return transport.call(address, method, target, body, TIMEOUT)
+    }
+
+    private inline fun <T> decoded(otherwise: T, decode: () -> T): T = try {
+        decode()
+    } catch (e: MalformedJson) {
+        log.info("malformed answer from=cloud reason=\"{}\"", e.message)
+        otherwise
+    }
+
+    public companion object {
+        public const val MOST_RELEASED: Int = 100
+        public const val MOST_HIRED: Int = 50
+        private const val OK = 200
+        private const val BAD = 400
+        private const val BUSY = 503
+        private const val PAGE = 500
+        private val PATIENCE = 3.seconds
+        private val TIMEOUT = 4.seconds
+    }
+}
+
+/** Machine types as the cloud states them, and as the state service keeps them for nodes that start while it is down. */
+public object CatalogCodec {
+    public fun decode(from: JsonObject): TypeInfo = TypeInfo(
+        MachineType(from.string("name")),
+        Resources(from.amount("cores"), from.amount("accelerators"), from.amount("memGb")),
+        from.amountOrNull("localGb") ?: 0.0,
+        from.amountOrNull("pullGbPerS") ?: 1.0,
+        from.amountOrNull("rate") ?: 0.0,
+        from.amountOrNull("lowPrice") ?: from.amountOrNull("rate") ?: 0.0,
+        (from.amountOrNull("readyS") ?: 0.0).seconds,
+        from.stringsOrNull("halls").orEmpty().map(::Zone),
+    )
+
+    public fun encode(type: TypeInfo): Map<String, Any?> = linkedMapOf(
+        "name" to type.name.name,
+        "cores" to type.resources.cpus,
+        "accelerators" to type.resources.gpus,
+        "memGb" to type.resources.memoryGb,
+        "localGb" to type.cacheGb,
+        "pullGbPerS" to type.fetchGbPerS,
+        "rate" to type.price,
+        "lowPrice" to type.spotPrice,
+        "readyS" to type.boot.inWholeMilliseconds / MS,
+        "halls" to type.zones.map { it.name },
+    )
+
+    private const val MS = 1000.0
+}
--- /dev/null
+++ b/src/main/kotlin/org/elderhitch/fleet/FleetPlan.kt
@@ -0,0 +1,178 @@
+package org.elderhitch.fleet
+
+import org.elderhitch.jobs.JobKind
+import org.elderhitch.jobs.JobSpec
+import org.elderhitch.jobs.Priority
+import org.elderhitch.jobs.Resources
+import org.elderhitch.placement.Unplaced
+import org.elderhitch.settings.Zone
+import org.elderhitch.time.Moment
+import org.elderhitch.workers.MachineId
+import kotlin.math.ceil
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** What operators may set; the defaults are what the deployments were measured with. */
+public data class FleetPolicy(
+    /** Spare room for services, in seconds of arrivals on top of a boot. */
+    val headroom: Duration = 30.seconds,
+    /** Machines' worth of room that production services keep in reserve against the loss of one. */
+    val spareMachines: Double = 1.0,
+    val returnAfter: Duration = 45.seconds,
+    val returnSpotAfter: Duration = 60.seconds,
+    val useSpot: Boolean = true,
+)
+
+public class PlanInput(
+    public val catalog: Catalog,
+    public val machines: List<PlannedMachine>,
+    public val unplaced: List<Unplaced>,
+    /** Shapes of the services that run, the most common first, with the room in tasks that each should find free. */
+    public val headroom: List<Headroom>,
+    public val closedMarkets: Set<Market>,
+    public val now: Moment,
+)
+
+public class Headroom(public val spec: JobSpec, public val tasks: Int)
+
+public data class Hiring(val market: Market, val count: Int)
+
+public class PlanOutput(public val hire: List<Hiring>, public val release: List<MachineId>)
+
+/**
+ * What to rent and what to return, from what is known: unplaced tasks go, on paper, onto machines that boot and then
+ * onto new ones; machines that stay idle beyond their time go back, unless the spare room needs them.
+ */
+public class FleetPlan(private val input: PlanInput, private val policy: FleetPolicy) {
+    private class Paper(val machine: Machine?, val market: Market, var free: Resources)
+
+    private val papers = ArrayList<Paper>()
+    private val bought = LinkedHashMap<Market, Int>()
+    private val spareUsed = HashSet<MachineId>()
+
+    public fun decide(): PlanOutput {
+        for (planned in input.machines) {
+            val type = input.catalog.types[planned.machine.type] ?: continue
+            if (planned.use == null && !late(planned, type)) papers.add(paper(planned.machine, type.resources))
+        }
+        for (need in input.unplaced.sortedByDescending { it.spec.priority }) {
+            val zones = HashMap(need.zones)
+            repeat(need.count.coerceAtMost(MOST_TASKS)) { place(need.spec, zones) }
+        }
+        keepHeadroom()
+        return PlanOutput(bought.map { (market, count) -> Hiring(market, count) }, releases())
+    }
+
+    private fun paper(machine: Machine, free: Resources) = Paper(machine, Market(machine.type, machine.zone, machine.spot), free)
+
+    /** Some machines take several times as long to boot, and some never do: they count for nothing until they are up. */
+    private fun late(planned: PlannedMachine, type: TypeInfo): Boolean =
+        input.now - planned.hiredAt > type.boot * LATE_BOOT
+
+    private fun allowed(spec: JobSpec, market: Market, zones: Map<Zone, Int>): Boolean =
+        (spec.types == null || market.type in spec.types) &&
+            (spec.zone == null || market.zone == spec.zone) &&
+            (!market.spot || spec.spotAllowed) &&
+            (if (spec.oneZone) zones.isEmpty() || market.zone in zones else (zones[market.zone] ?: 0) < spec.mostInOneZone)
+
+    private fun place(spec: JobSpec, zones: MutableMap<Zone, Int>): Boolean {
+        val paper = papers.filter { allowed(spec, it.market, zones) && spec.need.fitsIn(it.free) }.minByOrNull { it.free.gpus }
+            ?: buy(spec, zones)
+            ?: return false
+        paper.free -= spec.need
+        paper.machine?.let { spareUsed.add(it.id) }
+        zones.merge(paper.market.zone, 1, Int::plus)
+        return true
+    }
+
+    private fun buy(spec: JobSpec, zones: Map<Zone, Int>): Paper? {
+        val markets = input.catalog.fitting(spec).flatMap { type ->
+            type.zones.flatMap { zone -> listOf(Market(type.name, zone, true), Market(type.name, zone, false)) }
+        }.filter { (policy.useSpot || !it.spot) && it !in input.closedMarkets && allowed(spec, it, zones) }
+        val market = markets.minWithOrNull(
+            compareBy<Market> { cost(spec, it) }.thenBy { zones[it.zone] ?: 0 }.thenBy { m -> inZone(m) }.thenBy { it.zone.name },
+        ) ?: return null
+        val type = input.catalog.types[market.type] ?: return null
+        bought.merge(market, 1, Int::plus)
+        return Paper(null, market, type.resources).also { papers.add(it) }
+    }
+
+    private fun inZone(market: Market): Int = papers.count { it.market.zone == market.zone } +
+        input.machines.count { it.use != null && it.machine.zone == market.zone }
+
+    /** The price of the part of the machine that one task takes. */
+    private fun cost(spec: JobSpec, market: Market): Double {
+        val type = input.catalog.types[market.type] ?: return Double.MAX_VALUE
+        val has = type.resources
+        val share = maxOf(
+            spec.need.cpus / maxOf(has.cpus, TINY),
+            spec.need.gpus / maxOf(has.gpus, TINY),
+            spec.need.memoryGb / maxOf(has.memoryGb, TINY),
+        )
+        return share * if (market.spot) type.spotPrice else type.price
+    }
+
+    /** Room that services find free, or held only by tasks that would make room for them. */
+    private fun keepHeadroom() {
+        val spare = ArrayList<Paper>()
+        for (planned in input.machines) {
+            val use = planned.use ?: continue
+            val type = input.catalog.types[planned.machine.type] ?: continue
+            if (use.usable) spare.add(paper(planned.machine, type.resources - use.busy + use.yielding))
+        }
+        for (want in input.headroom) {
+            val production = want.spec.priority == Priority.PRODUCTION
+            val spec = want.spec.copy(spread = false, zone = null)
+            repeat(want.tasks) {
+                val fitting = spare.filter { allowed(spec, it.market, emptyMap()) && spec.need.fitsIn(it.free) }
+                    .minWithOrNull(compareBy({ it.free.gpus }, { it.machine?.id?.text.orEmpty() }))
+                if (fitting != null) {
+                    fitting.free -= spec.need
+                    fitting.machine?.let { spareUsed.add(it.id) }
+                } else if (production || spec.kind != JobKind.SERVICE) {
+                    place(spec, HashMap())
+                }
+            }
+        }
+    }
+
+    private fun releases(): List<MachineId> {
+        val release = ArrayList<MachineId>()
+        for (planned in input.machines) {
+            val type = input.catalog.types[planned.machine.type]
+            val use = planned.use
+            if (use == null) {
+                val boot = type?.boot ?: continue
+                if (input.now - planned.hiredAt > boot * HOPELESS_BOOT + HOPELESS_MARGIN) release.add(planned.machine.id)
+                continue
+            }
+            val idle = use.idle ?: continue
+            val patience = if (planned.machine.spot) policy.returnSpotAfter else policy.returnAfter
+            if (use.faulty || idle > patience && planned.machine.id !in spareUsed) release.add(planned.machine.id)
+        }
+        return release
+    }
+
+    public companion object {
+        private const val TINY = 1e-9
+        private const val LATE_BOOT = 2.0
+        private const val HOPELESS_BOOT = 3.5
+        private val HOPELESS_MARGIN = 10.seconds
+        private const val MOST_TASKS = 2000
+
+        /** How many tasks of a shape arrive while a machine boots, and how many the loss of a machine would strand. */
+        public fun spareTasks(spec: JobSpec, type: TypeInfo, arrivalsPerS: Double, policy: FleetPolicy): Int {
+            val lead = type.boot + policy.headroom
+            val perMachine = minOf(
+                ratio(type.resources.cpus, spec.need.cpus),
+                ratio(type.resources.gpus, spec.need.gpus),
+                ratio(type.resources.memoryGb, spec.need.memoryGb),
+            )
+            return ceil(arrivalsPerS * lead.inWholeMilliseconds / MS + policy.spareMachines * perMachine).toInt()
+        }
+
+        private const val MS = 1000.0
+
+        private fun ratio(has: Double, needs: Double): Double = if (needs <= 0) Double.MAX_VALUE else kotlin.math.floor(has / needs)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/elderhitch/fleet/Renter.kt
@@ -0,0 +1,508 @@
+package org.elderhitch.fleet
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.elderhitch.actor.Actor
+import org.elderhitch.jobs.JobId
+import org.elderhitch.jobs.JobKind
+import org.elderhitch.jobs.JobSpec
+import org.elderhitch.jobs.MachineType
+import org.elderhitch.json.MalformedJson
+import org.elderhitch.leadership.LeadershipMessage
+import org.elderhitch.leadership.Tenure
+import org.elderhitch.leadership.Term
+import org.elderhitch.placement.Unplaced
+import org.elderhitch.settings.Zone
+import org.elderhitch.store.Change
+import org.elderhitch.store.CommitOutcome
+import org.elderhitch.store.Condition
+import org.elderhitch.store.Entry
+import org.elderhitch.store.Keys
+import org.elderhitch.store.Purpose
+import org.elderhitch.store.Revision
+import org.elderhitch.store.StateClient
+import org.elderhitch.store.Subject
+import org.elderhitch.store.Write
+import org.elderhitch.time.Moment
+import org.elderhitch.time.SteadyClock
+import org.elderhitch.workers.ForemanMessage
+import org.elderhitch.workers.MachineId
+import org.elderhitch.workers.Report
+import org.slf4j.LoggerFactory
+import kotlin.math.exp
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
+
+public sealed interface FleetMessage {
+    /** All intents that the state service holds. */
+    public data class Snapshot(val entries: List<Entry>) : FleetMessage
+    public data class Changed(val changes: List<Change>) : FleetMessage
+    public data class TenureIs(val tenure: Tenure) : FleetMessage
+
+    /** The intents of all earlier terms are known. */
+    public data class TableComplete(val term: Term) : FleetMessage
+    public data class JobOpened(val spec: JobSpec) : FleetMessage
+    public data class Demand(
+        val unplaced: List<Unplaced>,
+        val uses: List<MachineUse>,
+        val services: List<JobSpec>,
+        val settled: Boolean,
+    ) : FleetMessage
+
+    /** A worker reports from a machine that nobody here knows. */
+    public data class Stray(val report: Report) : FleetMessage
+    public data class Release(val machines: List<MachineId>, val reason: String) : FleetMessage
+
+    /** Machines of an earlier term that have not reported in this one. */
+    public data class Unheard(val machines: List<MachineId>) : FleetMessage
+    public data class CatalogIs(val catalog: Catalog) : FleetMessage
+
+    public data class HireDone(val term: Term, val name: String, val outcome: HireOutcome) : FleetMessage
+    public data class HireWritten(val term: Term, val name: String, val version: Revision?) : FleetMessage
+    public data class Released(val term: Term, val machines: List<MachineId>, val done: Boolean) : FleetMessage
+    public data class Listed(val term: Term, val machines: List<ListedMachine>?, val asked: Moment) : FleetMessage
+    public data object Tick : FleetMessage
+}
+
+public interface FleetPorts {
+    public fun foreman(message: ForemanMessage)
+
+    public fun leadership(message: LeadershipMessage)
+}
+
+/**
+ * The leader's dealings with the cloud. An intent is written before each request to rent, conditional on the term, and
+ * completed with the machines' names: so each term knows of all machines that an earlier one may have used. A request
+ * that was left open is made again under its old name, which rents nothing twice.
+ */
+public class Renter(
+    scope: CoroutineScope,
+    private val cloud: CloudClient,
+    private val store: StateClient,
+    private val policy: FleetPolicy,
+    private val listLag: Duration,
+    private val clock: SteadyClock,
+    private val ports: FleetPorts,
+) : Actor<FleetMessage>(scope) {
+    private class Intent(val name: String, val market: Market, val count: Int) {
+        var machines: List<MachineId>? = null
+        var busy = false
+        var retryAt = Moment.NEVER
+    }
+
+    private class Held(val machine: Machine, val intent: String, val hiredAt: Moment) {
+        var failed = false
+        var releasing = false
+    }
+
+    private class Arrivals(val spec: JobSpec, var ratePerS: Double, var at: Moment)
+
+    private val log = LoggerFactory.getLogger("elderhitch.fleet")
+    private var tenure: Tenure = Tenure.Following(null, Term.NONE)
+    private var catalog = Catalog.EMPTY
+    private val intents = LinkedHashMap<String, Intent>()
+    private val held = HashMap<MachineId, Held>()
+    private val closed = HashMap<Market, Moment>()
+    private val closings = HashMap<Market, Int>()
+    private val arrivals = HashMap<String, Arrivals>()
+    private val unknownSince = HashMap<MachineId, Moment>()
+    private var demand: FleetMessage.Demand? = null
+    private var complete = false
+    private var censusSent = false
+    private var nextName = 0
+    private var listing = false
+    private var listedAt = Moment.NEVER
+    private var plannedAt = Moment.NEVER
+    private var leadingSince = Moment.NEVER
+
+    override fun start() {
+        super.start()
+        scope.launch {
+            while (true) {
+                delay(TICK)
+                tell(FleetMessage.Tick)
+            }
+        }
+    }
+
+    private fun leading(): Tenure.Leading? = tenure as? Tenure.Leading
+
+    override fun receive(message: FleetMessage) {
+        when (message) {
+            is FleetMessage.Snapshot -> if (leading() == null) {
+                intents.clear()
+                message.entries.forEach(::put)
+            }
+            is FleetMessage.Changed -> if (leading() == null || !complete) message.changes.forEach(::changed)
+            is FleetMessage.TenureIs -> tenureIs(message.tenure)
+            is FleetMessage.TableComplete -> if (message.term == leading()?.term) tableComplete()
+            is FleetMessage.JobOpened -> arrived(message.spec)
+            is FleetMessage.Demand -> demand = message
+            is FleetMessage.Stray -> adopt(
+                Machine(message.report.machine, message.report.type, message.report.zone, message.report.spot),
+            )
+            is FleetMessage.Release -> release(message.machines, message.reason)
+            is FleetMessage.Unheard -> release(message.machines, "unheard")
+            is FleetMessage.CatalogIs -> catalog = message.catalog
+            is FleetMessage.HireDone -> hireDone(message)
+            is FleetMessage.HireWritten -> hireWritten(message)
+            is FleetMessage.Released -> released(message)
+            is FleetMessage.Listed -> listed(message)
+            FleetMessage.Tick -> tick()
+        }
+    }
+
+    // ---- intents -----------------------------------------------------------------------------------------------
+
+    private fun changed(change: Change) {
+        when (change) {
+            is Change.Put -> put(change.entry)
+            is Change.Drop -> (Keys.subject(change.key) as? Subject.Hire)?.let { intents.remove(it.name) }
+        }
+    }
+
+    private fun put(entry: Entry) {
+        val subject = Keys.subject(entry.key) as? Subject.Hire ?: return
+        try {
+            val value = entry.value
+            val market = Market(MachineType(value.string("rig")), Zone(value.string("hall")), value.boolean("borrowedRigs"))
+            val intent = Intent(subject.name, market, value.count("count").toInt())
+            intent.machines = value.stringsOrNull("stalls")?.map(::MachineId)
+            intents[subject.name] = intent
+        } catch (e: MalformedJson) {
+            log.error("intent malformed key={} reason=\"{}\"", entry.key, e.message)
+        }
+    }
+
+    private fun encode(intent: Intent): Map<String, Any?> = linkedMapOf<String, Any?>(
+        "rig" to intent.market.type.name,
+        "hall" to intent.market.zone.name,
+        "borrowedRigs" to intent.market.spot,
+        "count" to intent.count,
+    ).apply { intent.machines?.let { put("stalls", it.map(MachineId::text)) } }
+
+    private fun tenureIs(next: Tenure) {
+        val before = leading()?.term
+        tenure = next
+        val leading = leading() ?: return
+        if (leading.term == before) return
+        leadingSince = clock.now()
+        complete = false
+        censusSent = false
+        held.clear()
+        unknownSince.clear()
+        closed.clear()
+        demand = null
+        nextName = 0
+        listing = false
+        listedAt = Moment.NEVER
+    }
+
+    private fun tableComplete() {
+        complete = true
+        val now = clock.now()
+        for (intent in intents.values) {
+            intent.busy = false
+            intent.machines?.forEach { hold(Machine(it, intent.market.type, intent.market.zone, intent.market.spot), intent.name, now) }
+        }
+        tick()
+    }
+
+    private fun hold(machine: Machine, intent: String, hiredAt: Moment) {
+        held[machine.id] = Held(machine, intent, hiredAt)
+        if (censusSent) ports.foreman(ForemanMessage.MachineKnown(machine))
+    }
+
+    private fun sendCensus(leading: Tenure.Leading) {
+        // A request left open may have rented machines that no one has heard of yet.
+        if (censusSent || !complete || intents.values.any { it.machines == null }) return
+        censusSent = true
+        ports.foreman(ForemanMessage.Census(leading.term, held.values.map { it.machine }))
+    }
+
+    // ---- rounds ------------------------------------------------------------------------------------------------
+
+    private fun tick() {
+        val leading = leading() ?: return
+        val now = clock.now()
+        if (!complete || !leading.mayCommand(now)) return
+        sendCensus(leading)
+        for (intent in intents.values) {
+            if (intent.machines == null && !intent.busy && now >= intent.retryAt) request(leading, intent)
+        }
+        if (!listing && now - listedAt > LIST_EVERY) list(leading)
+        if (now - plannedAt > PLAN_EVERY && censusSent && !catalog.isEmpty) {
+            plannedAt = now
+            plan(leading, now)
+        }
+    }
+
+    private fun plan(leading: Tenure.Leading, now: Moment) {
+        val demand = demand ?: return
+        // While machines of an earlier term are still to be heard, what is missing can't be told from what is silent.
+        val uses = demand.uses.associateBy { it.id }
+        closed.values.removeAll { it < now }
+        val open = intents.values.filter { it.machines == null }
+        val coming = open.flatMap { intent ->
+            (0 until intent.count).map { n ->
+                val id = MachineId("${intent.name}+$n")
+                PlannedMachine(Machine(id, intent.market.type, intent.market.zone, intent.market.spot), now, null)
+            }
+        }
+        val machines = held.values.filter { !it.releasing && !it.failed }.map { PlannedMachine(it.machine, it.hiredAt, uses[it.machine.id]) }
+        val output = FleetPlan(
+            PlanInput(catalog, machines + coming, demand.unplaced, headroom(demand, now), closed.keys.toSet(), now),
+            policy,
+        ).decide()
+        val settling = !demand.settled && now - leadingSince < SETTLING
+        if (!settling) {
+            for (hiring in output.hire) {
+                var left = hiring.count
+                while (left > 0) {
+                    val count = minOf(left, CloudClient.MOST_HIRED)
+                    newIntent(leading, hiring.market, count)
+                    left -= count
+                }
+            }
+            val release = output.release.filter { held[it]?.releasing == false }
+            if (release.isNotEmpty()) release(release, "idle")
+        }
+    }
+
+    private fun arrived(spec: JobSpec) {
+        val now = clock.now()
+        val known = arrivals[spec.jobClass]
+        val rate = known?.let { decayed(it, now) } ?: 0.0
+        arrivals[spec.jobClass] = Arrivals(spec, rate + spec.tasks / ARRIVALS_OVER.toDouble(DurationUnit.SECONDS), now)
+    }
+
+    private fun decayed(arrivals: Arrivals, now: Moment): Double = arrivals.ratePerS * exp(-((now - arrivals.at) / ARRIVALS_OVER))
+
+    private fun headroom(demand: FleetMessage.Demand, now: Moment): List<Headroom> =
+        demand.services.groupBy { it.jobClass }.values.mapNotNull { specs ->
+            val spec = specs.maxBy { it.need.gpus }
+            val type = catalog.fitting(spec).minByOrNull { it.price } ?: return@mapNotNull null
+            val rate = arrivals[spec.jobClass]?.let { decayed(it, now) } ?: 0.0
+            Headroom(spec, FleetPlan.spareTasks(spec, type, minOf(rate, MOST_RATE), policy))
+        }
+
+    // ---- renting -----------------------------------------------------------------------------------------------
+
+    private fun newIntent(leading: Tenure.Leading, market: Market, count: Int) {
+        // The term is never used twice, so neither is the name.
+        val intent = Intent("r-${leading.term}-${nextName++}", market, count)
+        intent.busy = true
+        intents[intent.name] = intent
+        write(leading, intent) { version ->
+            tell(FleetMessage.HireWritten(leading.term, intent.name, version))
+        }
+    }
+
+    private fun write(leading: Tenure.Leading, intent: Intent, then: (Revision?) -> Unit) {
+        val value = encode(intent)
+        scope.launch {
+            var result: Revision? = null
+            for (attempt in 0 until WRITE_TRIES) {
+                val outcome = store.commit(
+                    listOf(Condition(Keys.TERM, leading.counter)),
+                    listOf(Write.Put(Keys.hire(intent.name), value)),
+                    Purpose.END,
+                    WRITE_PATIENCE,
+                )
+                if (outcome is CommitOutcome.Committed) {
+                    result = outcome.revision
+                    break
+                }
+                if (outcome is CommitOutcome.Conflict) {
+                    log.info("intent refused term={} reason=\"the counter has moved on\"", leading.term)
+                    ports.leadership(LeadershipMessage.TermSeen(Term(leading.term.number + 1)))
+                    break
+                }
+                delay(WRITE_PAUSE)
+            }
+            then(result)
+        }
+    }
+
+    private fun hireWritten(message: FleetMessage.HireWritten) {
+        val leading = leading() ?: return
+        if (message.term != leading.term) return
+        val intent = intents[message.name] ?: return
+        val machines = intent.machines
+        if (message.version == null) {
+            // Not written as far as we know; it may be yet, and is then a later term's to settle. Nothing was asked for.
+            if (machines == null) {
+                intents.remove(message.name)
+                drop(leading, message.name)
+            } else {
+                intent.retryAt = clock.now() + WRITE_PAUSE
+                recordNames(leading, intent)
+            }
+            return
+        }
+        if (machines == null) {
+            intent.busy = false
+            request(leading, intent)
+        } else {
+            val now = clock.now()
+            machines.forEach { hold(Machine(it, intent.market.type, intent.market.zone, intent.market.spot), intent.name, now) }
+        }
+    }
+
+    private fun request(leading: Tenure.Leading, intent: Intent) {
+        if (!leading.mayCommand(clock.now())) return
+        intent.busy = true
+        scope.launch { tell(FleetMessage.HireDone(leading.term, intent.name, cloud.hire(intent.name, intent.market, intent.count))) }
+    }
+
+    private fun hireDone(message: FleetMessage.HireDone) {
+        val leading = leading() ?: return
+        if (message.term != leading.term) return
+        val intent = intents[message.name] ?: return
+        intent.busy = false
+        when (val outcome = message.outcome) {
+            is HireOutcome.Hired -> {
+                log.info("hired name={} market={} asked={} got={}", intent.name, intent.market, intent.count, outcome.machines.size)
+                if (outcome.machines.size < intent.count) close(intent.market) else closings.remove(intent.market)
+                intent.machines = outcome.machines
+                intent.busy = true
+                if (outcome.machines.isEmpty()) forgetIntent(leading, intent) else recordNames(leading, intent)
+            }
+            HireOutcome.NoCapacity -> {
+                log.info("hire refused name={} market={}", intent.name, intent.market)
+                close(intent.market)
+                forgetIntent(leading, intent)
+            }
+            HireOutcome.Rejected -> {
+                log.error("hire malformed name={} market={}", intent.name, intent.market)
+                close(intent.market)
+                forgetIntent(leading, intent)
+            }
+            HireOutcome.Unknown -> intent.retryAt = clock.now() + HIRE_RETRY
+        }
+    }
+
+    private fun recordNames(leading: Tenure.Leading, intent: Intent) {
+        write(leading, intent) { version -> tell(FleetMessage.HireWritten(leading.term, intent.name, version)) }
+    }
+
+    /** Nothing to be had there for a while; longer each time. */
+    private fun close(market: Market) {
+        val times = closings.merge(market, 1, Int::plus) ?: 1
+        closed[market] = clock.now() + minOf(CLOSED_FIRST * (1 shl minOf(times - 1, MAX_DOUBLINGS)), CLOSED_MOST)
+    }
+
+    private fun forgetIntent(leading: Tenure.Leading, intent: Intent) {
+        intents.remove(intent.name)
+        drop(leading, intent.name)
+    }
+
+    private fun drop(leading: Tenure.Leading, name: String) {
+        scope.launch {
+            store.commit(listOf(Condition(Keys.TERM, leading.counter)), listOf(Write.Drop(Keys.hire(name))), Purpose.OTHER, WRITE_PATIENCE)
+        }
+    }
+
+    /** A machine that came late, or that an answer never told of: used once an intent of its own says that it is there. */
+    private fun adopt(machine: Machine) {
+        val leading = leading() ?: return
+        if (!complete || machine.id in held || !leading.mayCommand(clock.now())) return
+        if (intents.values.any { it.machines == null || machine.id in it.machines.orEmpty() }) return
+        val intent = Intent("adopted-${leading.term}-${machine.id}", Market(machine.type, machine.zone, machine.spot), 1)
+        if (intent.name in intents) return
+        log.info("machine adopted machine={}", machine.id)
+        intent.machines = listOf(machine.id)
+        intent.busy = true
+        intents[intent.name] = intent
+        recordNames(leading, intent)
+    }
+
+    // ---- returning ---------------------------------------------------------------------------------------------
+
+    private fun release(machines: List<MachineId>, reason: String) {
+        val leading = leading() ?: return
+        if (!leading.mayCommand(clock.now())) return
+        for (chunk in machines.filter { held[it]?.releasing != true }.chunked(CloudClient.MOST_RELEASED)) {
+            log.info("release machines={} reason={}", chunk, reason)
+            chunk.forEach { held[it]?.releasing = true }
+            scope.launch { tell(FleetMessage.Released(leading.term, chunk, cloud.release(chunk))) }
+        }
+    }
+
+    private fun released(message: FleetMessage.Released) {
+        if (message.term != leading()?.term) return
+        if (message.done) {
+            message.machines.forEach { gone(it, "released") }
+        } else {
+            message.machines.forEach { held[it]?.releasing = false }
+        }
+    }
+
+    private fun gone(id: MachineId, proof: String) {
+        val was = held.remove(id)
+        ports.foreman(ForemanMessage.MachineGone(id, proof))
+        val leading = leading() ?: return
+        val intent = intents[was?.intent] ?: return
+        if (intent.machines.orEmpty().none { it in held }) forgetIntent(leading, intent)
+    }
+
+    // ---- the cloud's list --------------------------------------------------------------------------------------
+
+    private fun list(leading: Tenure.Leading) {
+        listing = true
+        val asked = clock.now()
+        scope.launch {
+            val machines = cloud.list()
+            if (machines == null) delay(LIST_RETRY)
+            tell(FleetMessage.Listed(leading.term, machines, asked))
+        }
+    }
+
+    private fun listed(message: FleetMessage.Listed) {
+        if (message.term != leading()?.term) return
+        listing = false
+        listedAt = clock.now()
+        val machines = message.machines ?: return
+        val listed = machines.associateBy { it.machine.id }
+        unknownSince.keys.retainAll(listed.keys)
+        for (entry in listed.values) {
+            val known = held[entry.machine.id]
+            if (known == null) {
+                // A machine just returned stays listed for a while; one that stays longer is nobody's.
+                val since = unknownSince.getOrPut(entry.machine.id) { message.asked }
+                if (message.asked - since > listLag * 2 + LIST_MARGIN) adopt(entry.machine)
+                continue
+            }
+            if (entry.state == FAILED && !known.failed) {
+                known.failed = true
+                release(listOf(entry.machine.id), "failed")
+            }
+        }
+        // The list lags by up to double its lag; what was rented before then and isn't in it is gone.
+        val describes = message.asked - listLag * 2 - LIST_MARGIN
+        held.values.filter { it.machine.id !in listed && it.hiredAt < describes && !it.releasing }.map { it.machine.id }
+            .forEach { gone(it, "unlisted") }
+    }
+
+    private companion object {
+        const val FAILED = "failed"
+        val TICK = 200.milliseconds
+        val PLAN_EVERY = 500.milliseconds
+        val LIST_EVERY = 1500.milliseconds
+        val LIST_RETRY = 1.seconds
+        val LIST_MARGIN = 1.seconds
+        val SETTLING = 8.seconds
+        val HIRE_RETRY = 2.seconds
+        val CLOSED_FIRST = 10.seconds
+        val CLOSED_MOST = 60.seconds
+        const val MAX_DOUBLINGS = 4
+        const val WRITE_TRIES = 3
+        val WRITE_PATIENCE = 3.seconds
+        val WRITE_PAUSE = 500.milliseconds
+        val ARRIVALS_OVER = 120.seconds
+        const val MOST_RATE = 0.3
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/elderhitch/jobs/JobBook.kt
@@ -0,0 +1,150 @@
+package org.elderhitch.jobs
+
+import com.github.benmanes.caffeine.cache.Cache
+import com.github.benmanes.caffeine.cache.Caffeine
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import org.elderhitch.actor.Actor
+import org.elderhitch.json.JsonObject
+import org.elderhitch.json.MalformedJson
+import org.elderhitch.store.Change
+import org.elderhitch.store.Entry
+import org.elderhitch.store.Keys
+import org.elderhitch.store.Revision
+import org.elderhitch.store.Subject
+import org.slf4j.LoggerFactory
+
+/** How a job ended, as its own key keeps it for ever. */
+public data class EndRecord(val how: Ending, val done: Int) {
+    public fun encode(): Map<String, Any?> = linkedMapOf("end" to how.name.lowercase(), "done" to done)
+
+    public fun standing(): Standing = Standing.ended(how, done)
+
+    public companion object {
+        /** Null for a value that this program did not write. */
+        public fun decode(value: JsonObject): EndRecord? = try {
+            Ending.entries.firstOrNull { it.name.lowercase() == value.string("end") }
+                ?.let { EndRecord(it, value.count("done").toInt()) }
+        } catch (_: MalformedJson) {
+            null
+        }
+    }
+}
+
+/** What is known here of a job. */
+public sealed interface Known {
+    public data object Nothing : Known
+
+    /** [version] is that of the job's record: its place in the order of jobs. */
+    public data class Open(val spec: JobSpec, val version: Revision, val standing: Standing) : Known
+    public data class Ended(val record: EndRecord) : Known
+}
+
+public sealed interface JobMessage {
+    public data class Snapshot(val entries: List<Entry>) : JobMessage
+    public data class Changed(val changes: List<Change>) : JobMessage
+    public data class Lookup(val id: JobId, val reply: CompletableDeferred<Known>) : JobMessage
+
+    /** This node itself wrote the record or the ending: known before the feed brings it. */
+    public data class Recorded(val spec: JobSpec, val version: Revision) : JobMessage
+    public data class EndedHere(val id: JobId, val record: EndRecord) : JobMessage
+
+    /** How many tasks of each job run; the leader's word, for display. */
+    public data class Running(val counts: Map<JobId, Int>) : JobMessage
+}
+
+/** What happens to jobs, for the leader's table. */
+public sealed interface JobEvent {
+    public data class Opened(val spec: JobSpec, val version: Revision) : JobEvent
+    public data class Finished(val id: JobId, val tasks: FinishedTasks) : JobEvent
+    public data class Ended(val id: JobId) : JobEvent
+}
+
+/** The open jobs, and a bounded memory of ended ones; the state service remembers the rest. */
+public class JobBook(
+    scope: CoroutineScope,
+    private val onEvent: (JobEvent) -> Unit,
+) : Actor<JobMessage>(scope) {
+    private class OpenJob(val spec: JobSpec, val version: Revision) {
+        val finished = FinishedTasks(spec.tasks)
+        var running = 0
+    }
+
+    private val log = LoggerFactory.getLogger("elderhitch.jobs")
+    private val open = HashMap<JobId, OpenJob>()
+    private val ended: Cache<JobId, EndRecord> = Caffeine.newBuilder().maximumSize(REMEMBERED).executor(Runnable::run).build()
+
+    override fun receive(message: JobMessage) {
+        when (message) {
+            is JobMessage.Snapshot -> snapshot(message.entries)
+            is JobMessage.Changed -> message.changes.forEach(::changed)
+            is JobMessage.Lookup -> message.reply.complete(lookup(message.id))
+            is JobMessage.Recorded -> opened(message.spec, message.version)
+            is JobMessage.EndedHere -> ended(message.id, message.record)
+            is JobMessage.Running -> open.forEach { (id, job) -> job.running = message.counts[id] ?: 0 }
+        }
+    }
+
+    private fun lookup(id: JobId): Known {
+        ended.getIfPresent(id)?.let { return Known.Ended(it) }
+        val job = open[id] ?: return Known.Nothing
+        return Known.Open(job.spec, job.version, Standing.open(job.finished.count, job.running))
+    }
+
+    private fun snapshot(entries: List<Entry>) {
+        val present = entries.mapNotNull { (Keys.subject(it.key) as? Subject.Job)?.id }.toSet()
+        // How these ended is not known here; whoever asks is answered from their own keys.
+        open.keys.filter { it !in present }.forEach { gone(it) }
+        entries.sortedBy { if (Keys.subject(it.key) is Subject.Job) 0 else 1 }.forEach(::put)
+    }
+
+    private fun changed(change: Change) {
+        when (change) {
+            is Change.Put -> put(change.entry)
+            is Change.Drop -> (Keys.subject(change.key) as? Subject.Job)?.let { gone(it.id) }
+        }
+    }
+
+    private fun put(entry: Entry) {
+        when (val subject = Keys.subject(entry.key)) {
+            is Subject.Job -> try {
+                opened(JobCodec.decode(entry.value), entry.version)
+            } catch (e: MalformedJson) {
+                log.error("job record malformed job={} reason=\"{}\"", subject.id, e.message)
+            }
+            is Subject.End -> EndRecord.decode(entry.value)?.let { ended(subject.id, it) }
+            is Subject.Finished -> finished(subject, entry)
+            else -> Unit
+        }
+    }
+
+    private fun opened(spec: JobSpec, version: Revision) {
+        // The record is written once, so a second sight of it changes nothing; and an ended job never opens again.
+        if (spec.id in open || ended.getIfPresent(spec.id) != null) return
+        open[spec.id] = OpenJob(spec, version)
+        onEvent(JobEvent.Opened(spec, version))
+    }
+
+    private fun finished(subject: Subject.Finished, entry: Entry) {
+        val job = open[subject.id] ?: return
+        val value = entry.value.raw("f") as? String ?: return
+        if (job.finished.unpack(subject.block, value)) {
+            onEvent(JobEvent.Finished(subject.id, job.finished))
+        } else {
+            log.error("finished block malformed key={}", entry.key)
+        }
+    }
+
+    private fun ended(id: JobId, record: EndRecord) {
+        ended.put(id, record)
+        gone(id)
+    }
+
+    private fun gone(id: JobId) {
+        if (open.remove(id) != null) onEvent(JobEvent.Ended(id))
+    }
+
+    private companion object {
+        const val REMEMBERED = 20_000L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/elderhitch/jobs/JobDesk.kt
@@ -0,0 +1,165 @@
+package org.elderhitch.jobs
+
+import kotlinx.coroutines.CompletableDeferred
+import org.elderhitch.json.JsonObject
+import org.elderhitch.json.MalformedJson
+import org.elderhitch.json.Json
+import org.elderhitch.settings.Team
+import org.elderhitch.settings.TeamName
+import org.elderhitch.store.CommitOutcome
+import org.elderhitch.store.Condition
+import org.elderhitch.store.Feed
+import org.elderhitch.store.Keys
+import org.elderhitch.store.Purpose
+import org.elderhitch.store.ReadOutcome
+import org.elderhitch.store.Revision
+import org.elderhitch.store.StateClient
+import org.elderhitch.store.Write
+import org.slf4j.LoggerFactory
+
+/** What a user is told; the edge turns it into statuses. */
+public sealed interface Answer {
+    public data class Accepted(val id: JobId, val standing: Standing, val isNew: Boolean) : Answer
+    public data class State(val id: JobId, val standing: Standing) : Answer
+    public data class Malformed(val reason: String) : Answer
+    public data class NeverRuns(val reason: String) : Answer
+    public data object Unknown : Answer
+
+    /** This node can't tell or record it now. */
+    public data class NotNow(val reason: String) : Answer
+}
+
+/** What machines exist in principle; null until the cloud has said. */
+public fun interface Catalogue {
+    public fun canEverRun(spec: JobSpec): Boolean?
+}
+
+/**
+ * Records jobs and withdrawals on any node, leader or not: conditionally, and before anybody is told. An answer that is
+ * not final is given only after [Feed.sync], so it is never older than one that another node gave.
+ */
+public class JobDesk(
+    private val book: JobBook,
+    private val feed: Feed,
+    private val client: StateClient,
+    private val teams: Map<TeamName, Team>,
+    private val catalogue: Catalogue,
+    private val valueBytes: Int,
+) {
+    private val log = LoggerFactory.getLogger("elderhitch.jobs")
+
+    public suspend fun submit(bytes: ByteArray): Answer {
+        val body: JsonObject
+        val id: JobId
+        try {
+            body = Json.parseObject(bytes)
+            id = JobCodec.id(body)
+        } catch (e: MalformedJson) {
+            return Answer.Malformed(e.message.orEmpty())
+        }
+        if (!feed.loaded) return Answer.NotNow("starting")
+        val spec = try {
+            JobCodec.decode(body)
+        } catch (e: MalformedJson) {
+            // An accepted job is never refused, whatever a repeat of it looks like.
+            return known(id, orElse = Answer.Malformed(e.message.orEmpty()))
+        }
+        val encoded = JobCodec.encode(spec)
+        if (Json.bytes(encoded).size > valueBytes) return known(id, orElse = Answer.Malformed("the job's fields are too long"))
+        if (lookup(id) != Known.Nothing) return known(id, orElse = Answer.NotNow("state unclear"))
+        neverRuns(spec)?.let { return known(id, orElse = it) }
+        return record(spec, encoded)
+    }
+
+    private fun neverRuns(spec: JobSpec): Answer? {
+        val team = teams[spec.team] ?: return Answer.NeverRuns("desk: unknown team")
+        val atOnce = spec.need * if (spec.kind == JobKind.ARRAY) 1 else spec.tasks
+        if (team.mostCpus != null && atOnce.cpus > team.mostCpus || team.mostGpus != null && atOnce.gpus > team.mostGpus) {
+            return Answer.NeverRuns("more than the team's limit")
+        }
+        return when (catalogue.canEverRun(spec)) {
+            true -> null
+            false -> Answer.NeverRuns("a task fits no allowed machine type")
+            null -> Answer.NotNow("machine types not known yet")
+        }
+    }
+
+    private suspend fun record(spec: JobSpec, encoded: Map<String, Any?>): Answer {
+        val conditions = listOf(Condition(Keys.job(spec.id), Revision.ABSENT), Condition(Keys.end(spec.id), Revision.ABSENT))
+        val write = listOf(Write.Put(Keys.job(spec.id), encoded))
+        repeat(TRIES) {
+            when (val outcome = client.commit(conditions, write, Purpose.RECORD)) {
+                is CommitOutcome.Committed -> {
+                    book.tell(JobMessage.Recorded(spec, outcome.revision))
+                    return Answer.Accepted(spec.id, Standing.open(0, 0), isNew = true)
+                }
+                is CommitOutcome.Conflict -> return known(spec.id, orElse = Answer.NotNow("state unclear"))
+                // If the first try was executed after all, the second finds the record and changes nothing.
+                CommitOutcome.Unknown -> Unit
+                CommitOutcome.Refused, CommitOutcome.NoSuchLease -> return Answer.NotNow("the state service takes no record now")
+            }
+        }
+        return Answer.NotNow("the state service doesn't answer")
+    }
+
+    private suspend fun known(id: JobId, orElse: Answer): Answer = when (val shown = show(id)) {
+        is Answer.State -> Answer.Accepted(id, shown.standing, isNew = false)
+        Answer.Unknown -> orElse
+        else -> shown
+    }
+
+    public suspend fun show(id: JobId): Answer {
+        (lookup(id) as? Known.Ended)?.let { return Answer.State(id, it.record.standing()) }
+        if (!feed.sync()) return Answer.NotNow("the state service doesn't answer")
+        return when (val known = lookup(id)) {
+            is Known.Ended -> Answer.State(id, known.record.standing())
+            is Known.Open -> Answer.State(id, known.standing)
+            Known.Nothing -> when (val read = client.read(Keys.end(id), Purpose.END)) {
+                is ReadOutcome.Found -> EndRecord.decode(read.entry.value)?.let {
+                    book.tell(JobMessage.EndedHere(id, it))
+                    Answer.State(id, it.standing())
+                } ?: Answer.NotNow("the job's ending can't be read")
+                ReadOutcome.Absent -> Answer.Unknown
+                ReadOutcome.Unavailable -> Answer.NotNow("the state service doesn't answer")
+            }
+        }
+    }
+
+    public suspend fun withdraw(id: JobId): Answer {
+        repeat(TRIES) {
+            if (lookup(id) !is Known.Open) {
+                val shown = show(id)
+                if (shown !is Answer.State || lookup(id) !is Known.Open) return shown
+            }
+            val open = lookup(id) as? Known.Open ?: return@repeat
+            val record = EndRecord(Ending.WITHDRAWN, open.standing.done)
+            val outcome = client.commit(
+                // Done or withdrawn: whoever creates the key of the ending has decided it.
+                listOf(Condition(Keys.end(id), Revision.ABSENT), Condition(Keys.job(id), open.version)),
+                listOf(Write.Put(Keys.end(id), record.encode()), Write.Drop(Keys.job(id))),
+                Purpose.RECORD,
+            )
+            when (outcome) {
+                is CommitOutcome.Committed -> {
+                    log.info("job withdrawn job={}", id)
+                    book.tell(JobMessage.EndedHere(id, record))
+                    return Answer.State(id, record.standing())
+                }
+                is CommitOutcome.Conflict -> if (!feed.sync()) return Answer.NotNow("the state service doesn't answer")
+                CommitOutcome.Unknown -> Unit
+                CommitOutcome.Refused, CommitOutcome.NoSuchLease -> return Answer.NotNow("the state service takes no record now")
+            }
+        }
+        return Answer.NotNow("the state service doesn't answer")
+    }
+
+    private suspend fun lookup(id: JobId): Known {
+        val reply = CompletableDeferred<Known>()
+        book.tell(JobMessage.Lookup(id, reply))
+        return reply.await()
+    }
+
+    private companion object {
+        const val TRIES = 3
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/elderhitch/jobs/Recorder.kt
@@ -0,0 +1,93 @@
+package org.elderhitch.jobs
+
+import org.elderhitch.leadership.Tenure
+import org.elderhitch.store.CommitOutcome
+import org.elderhitch.store.Condition
+import org.elderhitch.store.Keys
+import org.elderhitch.store.Purpose
+import org.elderhitch.store.Revision
+import org.elderhitch.store.StateClient
+import org.elderhitch.store.Write
+import org.elderhitch.workers.FinishedBatch
+
+/** What one job's newly finished tasks need written, and under which conditions. */
+internal class RecordItem(
+    val job: JobId,
+    val fresh: List<Int>,
+    val conditions: List<Condition>,
+    val writes: List<Write>,
+    val ending: EndRecord?,
+)
+
+/**
+ * Writes finished tasks, packed, once per round, and decides that a job is done: on the key of its ending, which a
+ * withdrawal would create as well, so that exactly one of them wins.
+ */
+public class Recorder(private val client: StateClient, private val book: JobBook, private val txnOps: Int) {
+    /** What was recorded; null: another term has begun. */
+    public suspend fun record(leading: Tenure.Leading, batches: List<FinishedBatch>): Map<JobId, List<Int>>? {
+        val recorded = HashMap<JobId, List<Int>>()
+        val queue = ArrayDeque(batches.flatMap(::items))
+        while (queue.isNotEmpty()) {
+            val group = ArrayList<RecordItem>()
+            while (queue.isNotEmpty() && (group.isEmpty() || group.sumOf { it.writes.size } + queue.first().writes.size <= txnOps)) {
+                group.add(queue.removeFirst())
+            }
+            when (val outcome = commit(leading, group)) {
+                is CommitOutcome.Committed -> group.forEach { done(it, recorded) }
+                is CommitOutcome.Conflict -> {
+                    if (Keys.TERM in outcome.failed) return null
+                    // Withdrawn meanwhile, or an earlier try of ours came through: the rest goes on without those.
+                    for (item in group) {
+                        if (item.conditions.any { it.key in outcome.failed }) continue
+                        if (commit(leading, listOf(item)) is CommitOutcome.Committed) done(item, recorded)
+                    }
+                }
+                else -> return recorded
+            }
+        }
+        return recorded
+    }
+
+    private fun done(item: RecordItem, recorded: MutableMap<JobId, List<Int>>) {
+        recorded[item.job] = recorded[item.job].orEmpty() + item.fresh
+        item.ending?.let { book.tell(JobMessage.EndedHere(item.job, it)) }
+    }
+
+    private suspend fun commit(leading: Tenure.Leading, items: List<RecordItem>): CommitOutcome = client.commit(
+        listOf(Condition(Keys.TERM, leading.counter)) + items.flatMap { it.conditions }.distinct(),
+        items.flatMap { it.writes },
+        if (items.any { it.ending != null }) Purpose.END else Purpose.PROGRESS,
+    )
+
+    internal fun items(batch: FinishedBatch): List<RecordItem> {
+        val open = Condition(Keys.job(batch.job), batch.version)
+        if (batch.state.all) {
+            val ending = EndRecord(Ending.DONE, batch.state.tasks)
+            return listOf(
+                RecordItem(
+                    batch.job,
+                    batch.fresh,
+                    listOf(open, Condition(Keys.end(batch.job), Revision.ABSENT)),
+                    listOf(Write.Put(Keys.end(batch.job), ending.encode()), Write.Drop(Keys.job(batch.job))),
+                    ending,
+                ),
+            )
+        }
+        return batch.fresh.groupBy(FinishedTasks::blockOf).map { (block, tasks) ->
+            val write = Write.Put(Keys.finished(batch.job, block), mapOf("f" to batch.state.pack(block)))
+            RecordItem(batch.job, tasks, listOf(open), listOf(write), null)
+        }
+    }
+
+    /** The finished blocks of an ended job say nothing that its ending doesn't. */
+    public suspend fun forget(leading: Tenure.Leading, job: JobId, blocks: Collection<Int>) {
+        for (chunk in blocks.chunked(txnOps)) {
+            client.commit(
+                listOf(Condition(Keys.TERM, leading.counter), Condition(Keys.job(job), Revision.ABSENT)),
+                chunk.map { Write.Drop(Keys.finished(job, it)) },
+                Purpose.OTHER,
+            )
+        }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/elderhitch/leadership/Leadership.kt
@@ -0,0 +1,254 @@
+package org.elderhitch.leadership
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.StateFlow
+import kotlinx.coroutines.launch
+import org.elderhitch.actor.Actor
+import org.elderhitch.json.JsonObject
+import org.elderhitch.json.MalformedJson
+import org.elderhitch.settings.NodeName
+import org.elderhitch.store.CommitOutcome
+import org.elderhitch.store.Condition
+import org.elderhitch.store.Entry
+import org.elderhitch.store.Keys
+import org.elderhitch.store.LeaseId
+import org.elderhitch.store.LeaseOutcome
+import org.elderhitch.store.Purpose
+import org.elderhitch.store.ReadOutcome
+import org.elderhitch.store.Revision
+import org.elderhitch.store.StateClient
+import org.elderhitch.store.Write
+import org.elderhitch.time.Moment
+import org.elderhitch.time.SteadyClock
+import org.elderhitch.time.shortened
+import org.slf4j.LoggerFactory
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+public sealed interface LeadershipMessage {
+    /** The leader's key as the state service has it; null: absent. */
+    public data class LeaderSeen(val entry: Entry?) : LeadershipMessage
+
+    /** A worker or controller knows this term. */
+    public data class TermSeen(val term: Term) : LeadershipMessage
+
+    /** This node leads but can't do the work; another should. */
+    public data class Resign(val reason: String) : LeadershipMessage
+
+    public data object Wake : LeadershipMessage
+}
+
+/**
+ * Claims the lead in one conditional transaction that raises the permanent counter and puts the leased leader key, and
+ * then renews the lease. The window runs from when a renewal was sent, so it ends here before the lease ends there.
+ */
+public class Leadership(
+    scope: CoroutineScope,
+    private val node: NodeName,
+    private val incarnation: Incarnation,
+    private val client: StateClient,
+    private val times: TenureTimes,
+    private val clock: SteadyClock,
+    private val random: Random,
+) : Actor<LeadershipMessage>(scope) {
+    private val log = LoggerFactory.getLogger("elderhitch.leadership")
+    private val state = MutableStateFlow<Tenure>(Tenure.Following(null, Term.NONE))
+    private var loaded = false
+    private var leader: LeaderRecord? = null
+    private var claiming = false
+    private var highestSeen = Term.NONE
+    private var notBefore = Moment.NEVER
+
+    public val tenure: StateFlow<Tenure> = state
+
+    private data class LeaderRecord(val node: NodeName, val incarnation: Incarnation, val term: Term, val version: Revision)
+
+    override fun receive(message: LeadershipMessage) {
+        when (message) {
+            is LeadershipMessage.LeaderSeen -> {
+                loaded = true
+                leader = message.entry?.let(::leaderRecord)
+                leader?.let { sawTerm(it.term) }
+                follow()
+            }
+            is LeadershipMessage.TermSeen -> sawTerm(message.term)
+            is LeadershipMessage.Resign -> resign(message.reason)
+            LeadershipMessage.Wake -> Unit
+        }
+        maybeClaim()
+    }
+
+    private fun leaderRecord(entry: Entry): LeaderRecord? = try {
+        LeaderRecord(
+            NodeName(entry.value.string("node")),
+            Incarnation(entry.value.string("run")),
+            Term(entry.value.long("term")),
+            entry.version,
+        )
+    } catch (e: MalformedJson) {
+        log.error("leader key malformed reason=\"{}\"", e.message)
+        null
+    }
+
+    private fun follow() {
+        if (state.value is Tenure.Leading) return
+        val record = leader
+        val next = Tenure.Following(record?.node?.takeIf { it != node }, record?.term ?: highestSeen)
+        if (next != state.value) {
+            log.info("following leader={} term={}", next.leader ?: "none", next.term)
+            state.value = next
+        }
+    }
+
+    /** A term above ours means that we lead no more, whatever our clock says. */
+    private fun sawTerm(term: Term) {
+        if (term > highestSeen) highestSeen = term
+        val leading = state.value as? Tenure.Leading ?: return
+        if (term > leading.term) stepDown("term $term seen")
+    }
+
+    private fun stepDown(reason: String) {
+        val leading = state.value as? Tenure.Leading ?: return
+        log.info("term ended term={} reason=\"{}\"", leading.term, reason)
+        state.value = Tenure.Following(leader?.node?.takeIf { it != node }, highestSeen)
+    }
+
+    private fun resign(reason: String) {
+        val leading = state.value as? Tenure.Leading ?: return
+        notBefore = clock.now() + RESIGN_PAUSE
+        leader = null
+        stepDown(reason)
+        scope.launch {
+            client.end(leading.lease)
+            delay(RESIGN_PAUSE)
+            tell(LeadershipMessage.Wake)
+        }
+    }
+
+    /** Free to claim: nobody's key is there, or it is one that an earlier run or claim of this very node left behind. */
+    private fun maybeClaim() {
+        if (!loaded || claiming || state.value is Tenure.Leading || clock.now() < notBefore) return
+        val record = leader
+        if (record != null && record.node != node) return
+        claiming = true
+        scope.launch {
+            try {
+                // The nodes notice a free lead at the same moment; they should not all ask for it at once.
+                if (record == null) delay(random.nextLong(CLAIM_SPREAD.inWholeMilliseconds).milliseconds)
+                val now = leader
+                if (now == null || now.node == node) claim(now)
+            } finally {
+                claiming = false
+                if (state.value !is Tenure.Leading) {
+                    scope.launch {
+                        delay(CLAIM_RETRY)
+                        tell(LeadershipMessage.Wake)
+                    }
+                }
+            }
+        }
+    }
+
+    private suspend fun claim(old: LeaderRecord?) {
+        val counter = when (val read = client.read(Keys.TERM, Purpose.LEADERSHIP)) {
+            is ReadOutcome.Found -> read.entry
+            ReadOutcome.Absent -> null
+            ReadOutcome.Unavailable -> return
+        }
+        val before = counter?.let(::counterTerm) ?: Term.NONE
+        val former = counter?.let(::formerLeader)
+        val term = Term(before.number + 1)
+        val sent = clock.now()
+        val lease = (client.grant(times.window) as? LeaseOutcome.Held)?.lease ?: return
+        val nonce = random.nextLong().toULong().toString(RADIX)
+        val record = linkedMapOf("n" to term.number, "node" to node.text, "run" to incarnation.text, "claim" to nonce)
+        val outcome = client.commit(
+            listOf(
+                Condition(Keys.TERM, counter?.version ?: Revision.ABSENT),
+                Condition(Keys.LEADER, old?.version ?: Revision.ABSENT),
+            ),
+            listOf(
+                Write.Put(Keys.TERM, record),
+                Write.Put(Keys.LEADER, linkedMapOf("node" to node.text, "run" to incarnation.text, "term" to term.number), lease),
+            ),
+            Purpose.LEADERSHIP,
+        )
+        val version = when (outcome) {
+            is CommitOutcome.Committed -> outcome.revision
+            // It may still be applied. Only the counter tells; and each claim has a mark of its own there.
+            CommitOutcome.Unknown -> {
+                val read = client.read(Keys.TERM, Purpose.LEADERSHIP) as? ReadOutcome.Found ?: return
+                if (read.entry.value.raw("claim") != nonce) return
+                read.entry.version
+            }
+            else -> {
+                log.info("claim lost term={}", term)
+                return
+            }
+        }
+        won(term, version, lease, sent, former)
+    }
+
+    private fun won(term: Term, version: Revision, lease: LeaseId, sent: Moment, former: Former?) {
+        val now = clock.now()
+        val windowEnd = sent + times.window.shortened()
+        if (highestSeen > term) {
+            log.info("claim outdated term={} seen={}", term, highestSeen)
+            return
+        }
+        highestSeen = term
+        log.info("term begins term={} node={} former={}", term, node, former?.node ?: "none")
+        state.value = Tenure.Leading(term, version, lease, windowEnd, windowEnd + times.hold, former, now)
+        scope.launch { renew(term, lease) }
+    }
+
+    private suspend fun renew(term: Term, lease: LeaseId) {
+        var pause = times.renewEvery
+        while (true) {
+            delay(pause)
+            if ((state.value as? Tenure.Leading)?.term != term) return
+            val sent = clock.now()
+            val outcome = client.extend(lease)
+            val leading = state.value as? Tenure.Leading
+            if (leading?.term != term) return
+            when (outcome) {
+                is LeaseOutcome.Held -> {
+                    if (clock.now() > leading.windowEnd) log.info("window renewed late term={}", term)
+                    val windowEnd = sent + times.window.shortened()
+                    state.value = leading.copy(windowEnd = windowEnd, holdEnd = windowEnd + times.hold)
+                    pause = times.renewEvery
+                }
+                LeaseOutcome.Gone -> {
+                    leader = null
+                    stepDown("lease gone")
+                    tell(LeadershipMessage.Wake)
+                    return
+                }
+                LeaseOutcome.Unavailable -> {
+                    log.info("renewal failed term={} window_left_ms={}", term, (leading.windowEnd - clock.now()).inWholeMilliseconds)
+                    pause = RENEW_RETRY
+                }
+            }
+        }
+    }
+
+    private fun counterTerm(entry: Entry): Term = Term(entry.value.longOrNull("n") ?: 0)
+
+    private fun formerLeader(entry: Entry): Former? {
+        val name = entry.value.stringOrNull("node") ?: return null
+        val run = entry.value.stringOrNull("run") ?: return null
+        return Former(NodeName(name), Incarnation(run))
+    }
+
+    private companion object {
+        const val RADIX = 36
+        val CLAIM_SPREAD: Duration = 120.milliseconds
+        val CLAIM_RETRY = 400.milliseconds
+        val RENEW_RETRY = 300.milliseconds
+        val RESIGN_PAUSE = 12.seconds
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/elderhitch/leadership/Tenure.kt
@@ -0,0 +1,78 @@
+package org.elderhitch.leadership
+
+import org.elderhitch.settings.NodeName
+import org.elderhitch.settings.WorkerTimes
+import org.elderhitch.store.LeaseId
+import org.elderhitch.store.Revision
+import org.elderhitch.time.Moment
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Minted by the state service; the workers' token. */
+@JvmInline
+public value class Term(public val number: Long) : Comparable<Term> {
+    override fun compareTo(other: Term): Int = number.compareTo(other.number)
+    override fun toString(): String = number.toString()
+
+    public companion object {
+        public val NONE: Term = Term(0)
+    }
+}
+
+/** One run of a controller process. A node that runs a new incarnation has surely ended the old one. */
+@JvmInline
+public value class Incarnation(public val text: String) {
+    override fun toString(): String = text
+}
+
+/** The spans that leadership rests on, derived from the settings; docs/design.md argues for them. */
+public data class TenureTimes(
+    /** How long after a renewal was sent the leader may command. Also what the lease in the state service is given. */
+    val window: Duration,
+    /** How long past its window a leader still answers reports, without commands. */
+    val hold: Duration,
+    /** A placement round that took longer sends nothing. */
+    val roundBudget: Duration,
+    val renewEvery: Duration,
+) {
+    public companion object {
+        private val WINDOW = 6.seconds
+        private val ROUND_BUDGET = 5.seconds
+        private val MARGIN = 2.seconds
+        private const val RENEWALS_PER_WINDOW = 5
+
+        public fun of(workers: WorkerTimes): TenureTimes = TenureTimes(
+            window = WINDOW,
+            // A task withdrawn right after the last renewal must be gone within the time for cancelling, even on a
+            // worker that only the cut-off leader still answers.
+            hold = (workers.cancel - workers.lease - WINDOW - MARGIN).coerceAtLeast(Duration.ZERO),
+            roundBudget = ROUND_BUDGET,
+            renewEvery = WINDOW / RENEWALS_PER_WINDOW,
+        )
+    }
+}
+
+/** Who leads, as far as this node knows. Replaced as a whole, never changed. */
+public sealed interface Tenure {
+    public data class Following(val leader: NodeName?, val term: Term) : Tenure
+
+    public data class Leading(
+        val term: Term,
+        /** Version of the counter at the claim: the condition of each of the leader's writes. */
+        val counter: Revision,
+        val lease: LeaseId,
+        /** Until then commands may be sent. */
+        val windowEnd: Moment,
+        /** Until then reports may be answered. */
+        val holdEnd: Moment,
+        val former: Former?,
+        val claimedAt: Moment,
+    ) : Tenure {
+        public fun mayCommand(now: Moment): Boolean = now < windowEnd
+
+        public fun mayAnswer(now: Moment): Boolean = now < holdEnd
+    }
+}
+
+/** Who led before, and so may still be answering workers. */
+public data class Former(val node: NodeName, val incarnation: Incarnation)
--- /dev/null
+++ b/src/main/kotlin/org/elderhitch/settings/Settings.kt
@@ -0,0 +1,134 @@
+package org.elderhitch.settings
+
+import org.elderhitch.http.Address
+import org.elderhitch.json.Json
+import org.elderhitch.json.JsonObject
+import org.elderhitch.json.MalformedJson
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+@JvmInline
+public value class NodeName(public val text: String) {
+    override fun toString(): String = text
+}
+
+@JvmInline
+public value class Zone(public val name: String) {
+    override fun toString(): String = name
+}
+
+@JvmInline
+public value class TeamName(public val text: String) {
+    override fun toString(): String = text
+}
+
+public data class Peer(val name: NodeName, val address: Address)
+
+/** What a team is promised and what it may use at most; null: no limit. */
+public data class Team(
+    val name: TeamName,
+    val guaranteedCpus: Double,
+    val guaranteedGpus: Double,
+    val mostCpus: Double?,
+    val mostGpus: Double?,
+)
+
+/** An aim of the deployment that names a class: started or finished [within] a time. */
+public data class Objective(val kind: String, val jobClass: String, val within: Duration?)
+
+public data class WorkerTimes(
+    val report: Duration,
+    val lease: Duration,
+    val gangWait: Duration,
+    val gangPeer: Duration,
+    val cancel: Duration,
+)
+
+public data class StateLimits(val requestsPerS: Double, val writesPerS: Double, val valueBytes: Int, val txnOps: Int)
+
+public data class CloudLimits(val requestsPerS: Double, val listLag: Duration)
+
+/** The platform's settings file. */
+public data class Settings(
+    val node: NodeName,
+    val zone: Zone,
+    val clientListen: Address,
+    val clusterListen: Address,
+    val peers: List<Peer>,
+    val cloud: Address,
+    val state: Address,
+    val zones: List<Zone>,
+    val teams: Map<TeamName, Team>,
+    val objectives: List<Objective>,
+    val workers: WorkerTimes,
+    val stateLimits: StateLimits,
+    val cloudLimits: CloudLimits,
+    val maxSockets: Int,
+) {
+    public companion object {
+        private const val DEFAULT_SOCKETS = 1024L
+        private const val KIB = 1024
+
+        /** Throws [MalformedJson] naming the field that is wrong. */
+        public fun parse(bytes: ByteArray): Settings {
+            val top = Json.parseObject(bytes)
+            val external = top.obj("external")
+            val settings = top.obj("settings")
+            val workers = settings.obj("workers")
+            val state = settings.obj("state")
+            val cloud = settings.obj("cloud")
+            return Settings(
+                node = NodeName(top.string("node_name")),
+                zone = Zone(top.stringOrNull("zone").orEmpty()),
+                clientListen = address(top, "client_listen"),
+                clusterListen = address(top, "cluster_listen"),
+                peers = top.objects("known").map { Peer(NodeName(it.string("node_name")), address(it, "address")) },
+                cloud = address(external, "cloud"),
+                state = address(external, "state"),
+                zones = settings.stringsOrNull("zones").orEmpty().map(::Zone),
+                teams = settings.objects("teams").map(::team).associateBy { it.name },
+                objectives = settings.objects("objectives").mapNotNull(::objective),
+                workers = WorkerTimes(
+                    positive(workers, "report_s"),
+                    positive(workers, "lease_s"),
+                    positive(workers, "gang_wait_s"),
+                    positive(workers, "gang_peer_s"),
+                    positive(workers, "cancel_s"),
+                ),
+                stateLimits = StateLimits(
+                    positiveAmount(state, "rps"),
+                    positiveAmount(state, "write_rps"),
+                    (positiveAmount(state, "value_kb") * KIB).toInt(),
+                    positiveAmount(state, "txn_ops").toInt(),
+                ),
+                cloudLimits = CloudLimits(positiveAmount(cloud, "rps"), cloud.amount("list_lag_s").seconds),
+                maxSockets = (settings.objectOrNull("machine_limits")?.longOrNull("max_sockets") ?: DEFAULT_SOCKETS).toInt(),
+            )
+        }
+
+        private fun address(from: JsonObject, name: String): Address =
+            Address.parse(from.string(name)) ?: throw MalformedJson("$name: not an address of the form 10.0.0.1:8080")
+
+        private fun positiveAmount(from: JsonObject, name: String): Double =
+            from.amount(name).also { if (it <= 0) throw MalformedJson("$name: must be above 0") }
+
+        private fun positive(from: JsonObject, name: String): Duration = positiveAmount(from, name).seconds
+
+        private fun limit(from: JsonObject, name: String): Double? = from.amountOrNull(name)?.takeIf { it > 0 }
+
+        private fun team(from: JsonObject): Team = Team(
+            TeamName(from.string("name")),
+            from.amountOrNull("cpus") ?: 0.0,
+            from.amountOrNull("gpus") ?: 0.0,
+            limit(from, "cpus_max"),
+            limit(from, "gpus_max"),
+        )
+
+        private fun objective(from: JsonObject): Objective? {
+            val jobClass = from.stringOrNull("class") ?: return null
+            val within = from.amountOrNull("within_s")?.seconds ?: from.amountOrNull("within_ms")?.milliseconds
+            return Objective(from.string("kind"), jobClass, within)
+        }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/elderhitch/time/Time.kt
@@ -0,0 +1,39 @@
+package org.elderhitch.time
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.nanoseconds
+
+/** A point on this process's steady clock. Two processes' moments can't be compared. */
+@JvmInline
+public value class Moment(public val nanos: Long) : Comparable<Moment> {
+    public operator fun plus(duration: Duration): Moment = Moment(nanos + duration.inWholeNanoseconds)
+    public operator fun minus(duration: Duration): Moment = Moment(nanos - duration.inWholeNanoseconds)
+    public operator fun minus(other: Moment): Duration = (nanos - other.nanos).nanoseconds
+    override fun compareTo(other: Moment): Int = nanos.compareTo(other.nanos)
+
+    public companion object {
+        /** Long before anything that happens here. */
+        public val NEVER: Moment = Moment(Long.MIN_VALUE / 4)
+
+        /** Long after anything that happens here. */
+        public val FOREVER: Moment = Moment(Long.MAX_VALUE / 4)
+    }
+}
+
+/** Injected, so that tests run in virtual time. */
+public fun interface SteadyClock {
+    public fun now(): Moment
+}
+
+public object SystemSteadyClock : SteadyClock {
+    override fun now(): Moment = Moment(System.nanoTime())
+}
+
+/** How far two steady clocks may diverge, as a share of the time passed. */
+public const val CLOCK_DRIFT: Double = 0.0005
+
+/** A span that is surely over on every other clock once it is over on this one. */
+public fun Duration.stretched(): Duration = this * (1 + 2 * CLOCK_DRIFT)
+
+/** A span that is surely not over on any other clock while it is not over on this one. */
+public fun Duration.shortened(): Duration = this * (1 - 2 * CLOCK_DRIFT)
--- /dev/null
+++ b/src/main/kotlin/org/elderhitch/workers/WorkerState.kt
@@ -0,0 +1,111 @@
+package org.elderhitch.workers
+
+import org.elderhitch.http.Address
+import org.elderhitch.jobs.Image
+import org.elderhitch.jobs.JobId
+import org.elderhitch.jobs.JobSpec
+import org.elderhitch.jobs.MachineType
+import org.elderhitch.jobs.FinishedTasks
+import org.elderhitch.jobs.TaskId
+import org.elderhitch.settings.Zone
+import org.elderhitch.store.Revision
+import org.elderhitch.time.Moment
+import kotlin.time.Duration
+
+/** How sure it is that a task is on its machine. */
+internal enum class Certainty {
+    /** Decided, not sent: can be taken back. */
+    ASSIGNED,
+
+    /** Sent: it may be there until a newer report settles it. */
+    SENT,
+
+    /** Reported by the worker. */
+    REPORTED,
+}
+
+internal class Placement(
+    val task: TaskId,
+    val attempt: Attempt,
+    val worker: WorkerState,
+    var certainty: Certainty,
+    /** A start that was not sent by then is not sent at all. */
+    val sendBy: Moment,
+) {
+    var phase: TaskPhase = TaskPhase.FETCHING
+
+    /** Told to stop, with this grace. */
+    var stop: Duration? = null
+
+    /** A stop for room is told once; a withdrawal after it may cut the saving short. */
+    val zone: Zone get() = worker.zone
+}
+
+internal class WorkerState(
+    val id: MachineId,
+    val type: MachineType,
+    val zone: Zone,
+    val spot: Boolean,
+    since: Moment,
+) {
+    var address: Address? = null
+    var order: ReportOrder? = null
+
+    /** A report with our term has come: its list is the truth. */
+    var settled: Boolean = false
+    var lastReport: Moment = since
+    var lastAnswer: Moment = Moment.NEVER
+    var notice: Duration? = null
+    var tasks: List<TaskReport> = emptyList()
+    val placements: HashMap<TaskId, Placement> = HashMap()
+    var idleSince: Moment = since
+    val erredTasks: HashSet<TaskId> = HashSet()
+    var sick: Boolean = false
+    var releaseAsked: Moment = Moment.NEVER
+
+    /** Images by last use, the latest last; what the machine most likely keeps. */
+    private val images = LinkedHashMap<Image, Double>()
+
+    fun usesImage(image: Image, gb: Double) {
+        images.remove(image)
+        images[image] = gb
+    }
+
+    fun cachedImages(cacheGb: Double): Set<Image> {
+        var room = cacheGb
+        val kept = HashSet<Image>()
+        for ((image, gb) in images.entries.reversed()) {
+            room -= gb
+            if (room < 0) break
+            kept.add(image)
+        }
+        return kept
+    }
+}
+
+internal class JobState(val spec: JobSpec, val version: Revision) {
+    /** Recorded as finished. */
+    val finished = FinishedTasks(spec.tasks)
+
+    /** Reported as done, recorded or not. */
+    val done = FinishedTasks(spec.tasks)
+    val placements = HashMap<Int, Placement>()
+    var ended = false
+    var gangAttempt: Attempt? = null
+    var gangStarted = false
+
+    /** A member was lost after the start, or the wait was over: all must be gone before the next attempt. */
+    var gangBroken = false
+    val shunned = HashMap<MachineId, Moment>()
+    val erredOn = HashSet<MachineId>()
+    var notBefore: Moment = Moment.NEVER
+    val id: JobId get() = spec.id
+
+    fun zones(): Map<Zone, Int> {
+        val counts = HashMap<Zone, Int>()
+        for (p in placements.values) counts.merge(p.zone, 1, Int::plus)
+        return counts
+    }
+
+    val running: Int get() = placements.values.count { it.certainty == Certainty.REPORTED && it.phase == TaskPhase.RUNNING }
+}
