--- a/src/main/kotlin/org/elderhitch/placement/Round.kt
+++ b/src/main/kotlin/org/elderhitch/placement/Round.kt
@@ -1,6 +1,7 @@
 package org.elderhitch.placement
 
 import org.elderhitch.jobs.Image
+import org.elderhitch.jobs.JobId
 import org.elderhitch.jobs.JobKind
 import org.elderhitch.jobs.JobSpec
 import org.elderhitch.jobs.MachineType
@@ -26,7 +27,9 @@
     /** Tasks that may be stopped for more important ones. */
     public val victims: MutableList<VictimView>,
     /** Jobs that failed here lately go elsewhere. */
-    public val shunnedBy: Set<org.elderhitch.jobs.JobId>,
+    public val shunnedBy: Set<JobId>,
+    /** What services take of it: they stay, while other tasks end by themselves. */
+    public var lasting: Double,
 )
 
 public class VictimView(public val task: TaskId, public val priority: Priority, public val need: Resources)
@@ -62,8 +65,8 @@
 /**
  * One placement round: what is known goes in, decisions come out. The most important jobs come first, work within a
  * team's guarantee before borrowed room, older jobs before younger ones; each task goes to the fullest machine that it
- * fits. One exception: among those, a machine that has the image comes first, since a fetch takes longer than most
- * users are ready to wait.
+ * fits. Two exceptions: a machine that has the image comes first, since a fetch takes longer than most users are ready
+ * to wait; and for services a machine is as full as its services make it.
  */
 public class Round(private val input: RoundInput) {
     private val placed = ArrayList<Placed>()
@@ -94,6 +97,8 @@
         compareByDescending<MachineView> { spec.image in it.images }
             // Cheap room is for those who may use it; the rest stays free for those who may not.
             .thenByDescending { it.spot }
+            // Services gather where services are: scattered among tasks that end, each would keep a machine to itself.
+            .thenByDescending { if (spec.kind == JobKind.SERVICE) it.lasting else 0.0 }
             .thenBy { it.free.gpus }
             .thenBy { it.free.cpus }
             .thenBy { it.id }
@@ -124,6 +129,7 @@
 
     private fun take(job: JobView, index: Int, machine: MachineView, zones: MutableMap<Zone, Int>) {
         machine.free -= job.spec.need
+        if (job.spec.kind == JobKind.SERVICE) machine.lasting += job.spec.need.gpus + job.spec.need.cpus
         zones.merge(machine.zone, 1, Int::plus)
         input.quota.add(job.spec.team, job.spec.need)
         placed.add(Placed(TaskId(job.spec.id, index), machine.id, job.joinAttempt))
--- a/src/main/kotlin/org/elderhitch/workers/Foreman.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Foreman.kt
@@ -219,7 +219,10 @@
     private fun jobEvent(event: JobEvent) {
         dirty = true
         when (event) {
-            is JobEvent.Opened -> jobs.getOrPut(event.spec.id) { JobState(event.spec, event.version) }
+            is JobEvent.Opened -> {
+                log.debug("job opened job={} class={} tasks={} image={}", event.spec.id, event.spec.jobClass, event.spec.tasks, event.spec.image)
+                jobs.getOrPut(event.spec.id) { JobState(event.spec, event.version) }
+            }
             is JobEvent.Finished -> jobs[event.id]?.let {
                 it.finished.addAll(event.tasks)
                 it.done.addAll(event.tasks)
@@ -366,6 +369,9 @@
             }
             dirty = true
         }
+        if (log.isDebugEnabled && (placement.phase != task.phase || placement.certainty != Certainty.REPORTED)) {
+            log.debug("task task={} phase={} machine={} class={}", task.task, task.phase, worker.id, job.spec.jobClass)
+        }
         placement.certainty = Certainty.REPORTED
         if (placement.phase != task.phase) dirty = true
         placement.phase = task.phase
@@ -597,10 +603,12 @@
         if (worker.tasks.any { it.phase != TaskPhase.EXITED && it.task.job !in jobs }) return null
         var free = type.resources
         var leaving = Resources.NONE
+        var lasting = 0.0
         val victims = ArrayList<VictimView>()
         for (p in worker.placements.values) {
             val job = jobs[p.task.job] ?: continue
             free -= job.spec.need
+            if (job.spec.kind == JobKind.SERVICE) lasting += job.spec.need.gpus + job.spec.need.cpus
             when {
                 p.stop != null -> leaving += job.spec.need
                 job.spec.kind != JobKind.GANG && p.certainty == Certainty.REPORTED && job.spec.priority < Priority.PRODUCTION ->
@@ -609,6 +617,7 @@
         }
         return MachineView(
             worker.id, worker.type, worker.zone, worker.spot, worker.cachedImages(type.cacheGb), free, leaving, victims, shunnedBy,
+            lasting,
         )
     }
 
@@ -650,6 +659,10 @@
         val placement = Placement(task, attempt, worker, Certainty.ASSIGNED, now + times.roundBudget)
         job.placements[task.index] = placement
         worker.placements[task] = placement
+        if (log.isDebugEnabled) {
+            val cached = job.spec.image in worker.cachedImages(catalog.types[worker.type]?.cacheGb ?: 0.0)
+            log.debug("task assigned task={} machine={} spot={} cached={}", task, machine, worker.spot, cached)
+        }
     }
 
     private fun reportUse(output: RoundOutput, now: Moment) {
--- a/src/test/kotlin/org/elderhitch/placement/RoundTest.kt
+++ b/src/test/kotlin/org/elderhitch/placement/RoundTest.kt
@@ -50,8 +50,9 @@
         type: String = "g8",
         images: Set<Image> = emptySet(),
         victims: List<VictimView> = emptyList(),
+        lasting: Double = 0.0,
     ) = MachineView(
-        MachineId(id), MachineType(type), Zone(zone), spot, images, free, Resources.NONE, victims.toMutableList(), emptySet(),
+        MachineId(id), MachineType(type), Zone(zone), spot, images, free, Resources.NONE, victims.toMutableList(), emptySet(), lasting,
     )
 
     private fun quota(mostGpus: Double? = null, reserved: Resources = Resources.NONE) =
@@ -126,6 +127,15 @@
         assertEquals(MachineId("m3"), decide(listOf(emptier, fuller, warm), listOf(job(spec(2)))).placed.single().machine)
     }
 
+    @Test
+    fun `services gather where services are, however full the others`() {
+        val fullOfTasks = machine("m1", free = full - Resources(28.0, 7.0, 210.0))
+        val someServices = machine("m2", free = full - Resources(8.0, 2.0, 60.0), lasting = 10.0)
+        val service = job(spec(1, JobKind.SERVICE, 1, Priority.PRODUCTION, spot = false))
+        assertEquals(MachineId("m2"), decide(listOf(fullOfTasks, someServices), listOf(service)).placed.single().machine)
+        assertEquals(MachineId("m1"), decide(listOf(fullOfTasks, someServices), listOf(job(spec(2)))).placed.single().machine)
+    }
+
     @Test
     fun `more important work stops less important work, and never its equals`() {
         val taken = Resources(0.0, 0.0, 0.0)
