--- a/src/main/kotlin/org/elderhitch/placement/Round.kt
+++ b/src/main/kotlin/org/elderhitch/placement/Round.kt
@@ -30,6 +30,9 @@
     public val shunnedBy: Set<JobId>,
     /** What services take of it: they stay, while other tasks end by themselves. */
     public var lasting: Double,
+    /** Nothing is on it: a gang could have it whole, or it could be returned. */
+    public var empty: Boolean,
+    public val fetchGbPerS: Double,
 )
 
 public class VictimView(public val task: TaskId, public val priority: Priority, public val need: Resources)
@@ -65,8 +68,8 @@
 /**
  * One placement round: what is known goes in, decisions come out. The most important jobs come first, work within a
  * team's guarantee before borrowed room, older jobs before younger ones; each task goes to the fullest machine that it
- * fits. Two exceptions: a machine that has the image comes first, since a fetch takes longer than most users are ready
- * to wait; and for services a machine is as full as its services make it.
+ * fits. Exceptions, in [detour]: a machine that lacks the image, and one that is empty, come later by as many seconds as
+ * that costs; and for services a machine is as full as its services make it.
  */
 public class Round(private val input: RoundInput) {
     private val placed = ArrayList<Placed>()
@@ -94,15 +97,22 @@
         .sortedWith(preference(spec))
 
     private fun preference(spec: JobSpec): Comparator<MachineView> =
-        compareByDescending<MachineView> { spec.image in it.images }
-            // Cheap room is for those who may use it; the rest stays free for those who may not.
-            .thenByDescending { it.spot }
+        compareBy<MachineView> { detour(spec, it) }
             // Services gather where services are: scattered among tasks that end, each would keep a machine to itself.
             .thenByDescending { if (spec.kind == JobKind.SERVICE) it.lasting else 0.0 }
             .thenBy { it.free.gpus }
             .thenBy { it.free.cpus }
             .thenBy { it.id }
 
+    /** What speaks against a machine, in seconds: the fetch, and what it costs others when an empty machine is opened. */
+    private fun detour(spec: JobSpec, machine: MachineView): Double {
+        val fetch = if (spec.image in machine.images) 0.0 else spec.imageGb / machine.fetchGbPerS.coerceAtLeast(SLOWEST_FETCH)
+        val opening = if (machine.empty) OPENING_S else 0.0
+        // Cheap room is for those who may use it; the rest stays free for those who may not.
+        val dear = if (spec.spotAllowed && !machine.spot) DEAR_S else 0.0
+        return fetch + opening + dear
+    }
+
     private fun placeTasks(job: JobView) {
         val spec = job.spec
         val zones = HashMap(job.zones)
@@ -129,6 +139,7 @@
 
     private fun take(job: JobView, index: Int, machine: MachineView, zones: MutableMap<Zone, Int>) {
         machine.free -= job.spec.need
+        machine.empty = false
         if (job.spec.kind == JobKind.SERVICE) machine.lasting += job.spec.need.gpus + job.spec.need.cpus
         zones.merge(machine.zone, 1, Int::plus)
         input.quota.add(job.spec.team, job.spec.need)
@@ -208,4 +219,10 @@
         }
         return chosen
     }
+
+    private companion object {
+        const val SLOWEST_FETCH = 0.01
+        const val OPENING_S = 12.0
+        const val DEAR_S = 6.0
+    }
 }
--- a/src/main/kotlin/org/elderhitch/workers/Foreman.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Foreman.kt
@@ -617,7 +617,7 @@
         }
         return MachineView(
             worker.id, worker.type, worker.zone, worker.spot, worker.cachedImages(type.cacheGb), free, leaving, victims, shunnedBy,
-            lasting,
+            lasting, worker.placements.isEmpty(), type.fetchGbPerS,
         )
     }
 
--- a/src/test/kotlin/org/elderhitch/placement/RoundTest.kt
+++ b/src/test/kotlin/org/elderhitch/placement/RoundTest.kt
@@ -53,6 +53,7 @@
         lasting: Double = 0.0,
     ) = MachineView(
         MachineId(id), MachineType(type), Zone(zone), spot, images, free, Resources.NONE, victims.toMutableList(), emptySet(), lasting,
+        empty = free == full, fetchGbPerS = 1.0,
     )
 
     private fun quota(mostGpus: Double? = null, reserved: Resources = Resources.NONE) =
@@ -119,12 +120,15 @@
     }
 
     @Test
-    fun `the fullest machine comes first, and one with the image before it`() {
-        val emptier = machine("m1")
-        val fuller = machine("m2", free = full - Resources(4.0, 3.0, 30.0))
-        assertEquals(MachineId("m2"), decide(listOf(emptier, fuller), listOf(job(spec(1)))).placed.single().machine)
-        val warm = machine("m3", images = setOf(Image("img")))
-        assertEquals(MachineId("m3"), decide(listOf(emptier, fuller, warm), listOf(job(spec(2)))).placed.single().machine)
+    fun `the fullest machine comes first, one with the image before it, an empty one last`() {
+        fun emptier() = machine("m1", free = full - Resources(4.0, 1.0, 30.0))
+        fun fuller() = machine("m2", free = full - Resources(4.0, 3.0, 30.0))
+        assertEquals(MachineId("m2"), decide(listOf(emptier(), fuller()), listOf(job(spec(1)))).placed.single().machine)
+        val warm = machine("m3", free = full - Resources(4.0, 1.0, 30.0), images = setOf(Image("img")))
+        assertEquals(MachineId("m3"), decide(listOf(emptier(), fuller(), warm), listOf(job(spec(2)))).placed.single().machine)
+        // A short fetch is no reason to open a machine that a gang could have whole.
+        val emptyWarm = machine("m4", images = setOf(Image("img")))
+        assertEquals(MachineId("m2"), decide(listOf(emptyWarm, fuller()), listOf(job(spec(3)))).placed.single().machine)
     }
 
     @Test
