--- a/src/main/kotlin/org/elderhitch/fleet/Renter.kt
+++ b/src/main/kotlin/org/elderhitch/fleet/Renter.kt
@@ -257,6 +257,14 @@
             PlanInput(catalog, machines + coming, demand.unplaced, headroom(demand, now), closed.keys.toSet(), now),
             policy,
         ).decide()
+        if (log.isDebugEnabled) {
+            log.debug(
+                "plan machines={} booting={} empty={} unplaced={} headroom={} hire={} release={}",
+                machines.size, machines.count { it.use == null }, machines.count { it.use?.idle != null },
+                demand.unplaced.map { "${it.spec.id}:${it.spec.jobClass}x${it.count}" }, headroom(demand, now).map { it.tasks },
+                output.hire, output.release.size,
+            )
+        }
         val settling = !demand.settled && now - leadingSince < SETTLING
         if (!settling) {
             for (hiring in output.hire) {
--- a/src/main/kotlin/org/elderhitch/placement/Round.kt
+++ b/src/main/kotlin/org/elderhitch/placement/Round.kt
@@ -197,12 +197,23 @@
         val choice = zoneChoices.firstNotNullOfOrNull { zone -> fit(job, zone) }
         if (choice == null) {
             unplaced.add(Unplaced(spec, job.pending.size, job.zones))
+            reserve(job, zoneChoices)
             return
         }
         val zones = HashMap(job.zones)
         for ((index, machine) in job.pending.zip(choice)) take(job, index, machine, zones)
     }
 
+    /**
+     * A gang that misses some machines keeps the ones it could use: less important work, which comes later in this
+     * round, would take each of them as it falls free, and the gang would never find all at once.
+     */
+    private fun reserve(job: JobView, zoneChoices: List<Zone?>) {
+        val spec = job.spec
+        val best = zoneChoices.map { zone -> candidates(spec).filter { zone == null || it.zone == zone } }.maxByOrNull { it.size } ?: return
+        for (machine in best.take(job.pending.size)) machine.free -= spec.need
+    }
+
     private fun fit(job: JobView, zone: Zone?): List<MachineView>? {
         val spec = job.spec
         val zones = HashMap(job.zones)
--- a/src/test/kotlin/org/elderhitch/placement/RoundTest.kt
+++ b/src/test/kotlin/org/elderhitch/placement/RoundTest.kt
@@ -150,6 +150,18 @@
         assertEquals(0, decide(listOf(machine("m1", free = taken, victims = victims(Priority.LOW))), listOf(job(spec(2, priority = Priority.LOW)))).stopped.size)
     }
 
+    @Test
+    fun `what a waiting gang could use is kept from less important work`() {
+        val whole = Resources(43.0, 8.0, 230.0)
+        val gang = job(spec(1, JobKind.GANG, 2, Priority.HIGH, whole, oneZone = true), order = 2)
+        val array = job(spec(2, tasks = 8), order = 1)
+        assertEquals(emptyList(), decide(listOf(machine("m1")), listOf(gang, array)).placed)
+        // Once the gang has its zone, machines elsewhere are free for others.
+        val output = decide(listOf(machine("m1", "a"), machine("m2", "b"), machine("m3", "b"), machine("m4", "c")), listOf(gang, array))
+        assertEquals(setOf(MachineId("m2"), MachineId("m3")), output.placed.filter { it.task.job == gang.spec.id }.map { it.machine }.toSet())
+        assertEquals(8, output.placed.count { it.task.job == array.spec.id })
+    }
+
     @Test
     fun `quota that silent workers may use is not given away`() {
         val output = decide(listOf(machine("m1")), listOf(job(spec(1, tasks = 8))), quota(10.0, reserved = Resources(48.0, 8.0, 384.0)))
