--- a/src/main/kotlin/org/elderhitch/fleet/FleetPlan.kt
+++ b/src/main/kotlin/org/elderhitch/fleet/FleetPlan.kt
@@ -20,6 +20,8 @@
     val spareMachines: Double = 1.0,
     val returnAfter: Duration = 45.seconds,
     val returnSpotAfter: Duration = 60.seconds,
+    /** The same for machines beyond those that the arrivals of a boot's time could fill. */
+    val returnSurplusAfter: Duration = 10.seconds,
     val useSpot: Boolean = true,
 )
 
@@ -29,6 +31,8 @@
     public val unplaced: List<Unplaced>,
     /** Shapes of the services that run, the most common first, with the room in tasks that each should find free. */
     public val headroom: List<Headroom>,
+    /** How many machines the tasks would fill that arrive while one boots. */
+    public val arriving: Double,
     public val closedMarkets: Set<Market>,
     public val now: Moment,
 )
@@ -146,11 +150,27 @@
                 if (input.now - planned.hiredAt > boot * HOPELESS_BOOT + HOPELESS_MARGIN) release.add(planned.machine.id)
                 continue
             }
-            val idle = use.idle ?: continue
-            val patience = if (planned.machine.spot) policy.returnSpotAfter else policy.returnAfter
-            if (use.faulty || idle > patience && planned.machine.id !in spareUsed) release.add(planned.machine.id)
+            if (use.faulty && use.idle != null) release.add(planned.machine.id)
         }
-        return release
+        return release + idleBeyondPatience()
+    }
+
+    /**
+     * Idle machines stand by for what arrives soon, as many as that may need and each for its time; what stands idle
+     * beyond them goes back, though not before the least that the cloud charges for is used up.
+     */
+    private fun idleBeyondPatience(): List<MachineId> {
+        val idle = input.machines.filter { it.use?.idle != null && it.use.faulty.not() && it.machine.id !in spareUsed }
+            .sortedWith(compareByDescending<PlannedMachine> { it.machine.spot }.thenBy { it.use?.idle }.thenBy { it.machine.id })
+        val standBy = ceil(input.arriving * STAND_BY_SHARE).toInt()
+        return idle.filterIndexed { n, planned ->
+            val patience = when {
+                n >= standBy -> policy.returnSurplusAfter
+                planned.machine.spot -> policy.returnSpotAfter
+                else -> policy.returnAfter
+            }
+            (planned.use?.idle ?: Duration.ZERO) > patience && input.now - planned.hiredAt > LEAST_CHARGED
+        }.map { it.machine.id }
     }
 
     public companion object {
@@ -159,18 +179,23 @@
         private const val HOPELESS_BOOT = 3.5
         private val HOPELESS_MARGIN = 10.seconds
         private const val MOST_TASKS = 2000
+        private const val STAND_BY_SHARE = 0.3
+        private val LEAST_CHARGED = 60.seconds
 
         /** How many tasks of a shape arrive while a machine boots, and how many the loss of a machine would strand. */
         public fun spareTasks(spec: JobSpec, type: TypeInfo, arrivalsPerS: Double, policy: FleetPolicy): Int {
             val lead = type.boot + policy.headroom
-            val perMachine = minOf(
-                ratio(type.resources.cpus, spec.need.cpus),
-                ratio(type.resources.gpus, spec.need.gpus),
-                ratio(type.resources.memoryGb, spec.need.memoryGb),
-            )
+            val perMachine = tasksPerMachine(spec, type)
             return ceil(arrivalsPerS * lead.inWholeMilliseconds / MS + policy.spareMachines * perMachine).toInt()
         }
 
+        /** How many tasks of a shape a machine holds. */
+        public fun tasksPerMachine(spec: JobSpec, type: TypeInfo): Double = minOf(
+            ratio(type.resources.cpus, spec.need.cpus),
+            ratio(type.resources.gpus, spec.need.gpus),
+            ratio(type.resources.memoryGb, spec.need.memoryGb),
+        )
+
         private const val MS = 1000.0
 
         private fun ratio(has: Double, needs: Double): Double = if (needs <= 0) Double.MAX_VALUE else kotlin.math.floor(has / needs)
--- a/src/main/kotlin/org/elderhitch/fleet/Renter.kt
+++ b/src/main/kotlin/org/elderhitch/fleet/Renter.kt
@@ -254,7 +254,7 @@
         }
         val machines = held.values.filter { !it.releasing && !it.failed }.map { PlannedMachine(it.machine, it.hiredAt, uses[it.machine.id]) }
         val output = FleetPlan(
-            PlanInput(catalog, machines + coming, demand.unplaced, headroom(demand, now), closed.keys.toSet(), now),
+            PlanInput(catalog, machines + coming, demand.unplaced, headroom(demand, now), arriving(now), closed.keys.toSet(), now),
             policy,
         ).decide()
         if (log.isDebugEnabled) {
@@ -297,6 +297,12 @@
             Headroom(spec, FleetPlan.spareTasks(spec, type, minOf(rate, MOST_RATE), policy))
         }
 
+    /** Machines' worth of tasks that arrive while a machine boots. */
+    private fun arriving(now: Moment): Double = arrivals.values.sumOf { known ->
+        val type = catalog.fitting(known.spec).minByOrNull { it.price } ?: return@sumOf 0.0
+        decayed(known, now) * type.boot.toDouble(DurationUnit.SECONDS) / FleetPlan.tasksPerMachine(known.spec, type).coerceAtLeast(1.0)
+    }
+
     // ---- renting -----------------------------------------------------------------------------------------------
 
     private fun newIntent(leading: Tenure.Leading, market: Market, count: Int) {
--- a/src/main/kotlin/org/elderhitch/settings/PolicyScript.kt
+++ b/src/main/kotlin/org/elderhitch/settings/PolicyScript.kt
@@ -33,6 +33,7 @@
         "headroom_s" to Key(0.0, 600.0) { p, v -> p.copy(headroom = v.seconds) },
         "spare_machines" to Key(0.0, 20.0) { p, v -> p.copy(spareMachines = v) },
         "return_after_s" to Key(0.0, 3600.0) { p, v -> p.copy(returnAfter = v.seconds) },
+        "return_surplus_after_s" to Key(0.0, 3600.0) { p, v -> p.copy(returnSurplusAfter = v.seconds) },
         "return_spot_after_s" to Key(0.0, 3600.0) { p, v -> p.copy(returnSpotAfter = v.seconds) },
     )
     private const val USE_SPOT = "use_spot"
--- /dev/null
+++ b/src/test/kotlin/org/elderhitch/fleet/FleetPlanTest.kt
@@ -0,0 +1,85 @@
+package org.elderhitch.fleet
+
+import org.elderhitch.jobs.Image
+import org.elderhitch.jobs.JobId
+import org.elderhitch.jobs.JobKind
+import org.elderhitch.jobs.JobSpec
+import org.elderhitch.jobs.MachineType
+import org.elderhitch.jobs.Priority
+import org.elderhitch.jobs.Resources
+import org.elderhitch.placement.Unplaced
+import org.elderhitch.settings.TeamName
+import org.elderhitch.settings.Zone
+import org.elderhitch.time.Moment
+import org.elderhitch.workers.MachineId
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+class FleetPlanTest {
+    private val type = TypeInfo(MachineType("g8"), Resources(48.0, 8.0, 384.0), 50.0, 1.0, 20.0, 6.0, 45.seconds, listOf(Zone("a"), Zone("b")))
+    private val catalog = Catalog(mapOf(type.name to type))
+    private val now = Moment(0) + 1000.seconds
+
+    private fun spec(kind: JobKind = JobKind.ARRAY, tasks: Int = 1, spot: Boolean = true, spread: Boolean = false, priority: Priority = Priority.NORMAL) = JobSpec(
+        JobId("req-1"), "class", TeamName("team"), kind, priority, tasks, Resources(4.0, 1.0, 30.0), null, null, false, spread, spot,
+        Image("img"), 1.0, 40.seconds, Duration.ZERO, Duration.ZERO, null,
+    )
+
+    private fun machine(n: Int, idle: Duration? = null, age: Duration = 500.seconds, up: Boolean = true, busy: Resources = Resources.NONE) = PlannedMachine(
+        Machine(MachineId("m$n"), type.name, Zone("a"), false), now - age,
+        if (up) MachineUse(MachineId("m$n"), busy, Resources.NONE, usable = true, idle = idle, faulty = false) else null,
+    )
+
+    private fun plan(
+        machines: List<PlannedMachine> = emptyList(),
+        unplaced: List<Unplaced> = emptyList(),
+        headroom: List<Headroom> = emptyList(),
+        arriving: Double = 0.0,
+        closed: Set<Market> = emptySet(),
+    ) = FleetPlan(PlanInput(catalog, machines, unplaced, headroom, arriving, closed, now), FleetPolicy()).decide()
+
+    @Test
+    fun `what is rented holds what is missing, in allowed places only`() {
+        val random = Random(7)
+        repeat(200) { round ->
+            val specs = List(random.nextInt(1, 5)) { spec(tasks = random.nextInt(1, 30), spot = random.nextBoolean(), spread = random.nextBoolean()) }
+            val closed = type.zones.flatMap { z -> listOf(Market(type.name, z, true), Market(type.name, z, false)) }.filter { random.nextInt(4) == 0 }.toSet()
+            val output = plan(unplaced = specs.map { Unplaced(it, it.tasks, emptyMap()) }, closed = closed)
+            assertTrue(output.hire.none { it.market in closed }, "round $round")
+            if (specs.none { it.spotAllowed }) assertTrue(output.hire.none { it.market.spot }, "round $round")
+            val dear = Market(type.name, Zone("a"), false)
+            if (dear !in closed && dear.copy(zone = Zone("b")) !in closed) {
+                assertTrue(output.hire.sumOf { it.count } * 8 >= specs.sumOf { it.tasks }, "round $round: too little")
+                assertTrue(output.hire.sumOf { it.count } <= (specs.sumOf { it.tasks } + 7) / 8 + 4 * specs.size, "round $round: too much")
+            }
+        }
+    }
+
+    @Test
+    fun `machines that boot count, until they are late`() {
+        val missing = listOf(Unplaced(spec(tasks = 8), 8, emptyMap()))
+        assertEquals(0, plan(listOf(machine(1, age = 20.seconds, up = false)), missing).hire.size)
+        assertEquals(1, plan(listOf(machine(1, age = 100.seconds, up = false)), missing).hire.sumOf { it.count })
+        assertEquals(listOf(MachineId("m1")), plan(listOf(machine(1, age = 200.seconds, up = false))).release)
+    }
+
+    @Test
+    fun `idle machines stand by for arrivals, and the rest go back once they are paid for`() {
+        val idle = List(5) { machine(it, idle = 20.seconds) }
+        assertEquals(5, plan(idle).release.size)
+        assertEquals(3, plan(idle, arriving = 6.0).release.size)
+        assertEquals(0, plan(listOf(machine(1, idle = 20.seconds, age = 40.seconds))).release.size)
+        assertEquals(5, plan(List(5) { machine(it, idle = 50.seconds) }, arriving = 6.0).release.size)
+    }
+
+    @Test
+    fun `room for services is kept, not returned`() {
+        val service = spec(JobKind.SERVICE, spot = false, priority = Priority.PRODUCTION)
+        assertEquals(1, plan(listOf(machine(1, idle = 90.seconds), machine(2, idle = 90.seconds)), headroom = listOf(Headroom(service, 8))).release.size)
+        assertEquals(1, plan(headroom = listOf(Headroom(service, 8))).hire.sumOf { it.count })
+    }
+}
