--- a/src/main/kotlin/org/elderhitch/app/Edge.kt
+++ b/src/main/kotlin/org/elderhitch/app/Edge.kt
@@ -48,7 +48,7 @@
         foreman.tell(ForemanMessage.ReportIn(report, reply))
         return when (val answer = reply.await()) {
             is ReportAnswer.Accepted -> Response(OK, ReportCodec.encode(answer.term, answer.commands))
-            is ReportAnswer.Elsewhere -> answer.leader?.let { Response(MISDIRECTED, Json.bytes(mapOf("auctioneer" to it.text))) }
+            is ReportAnswer.Elsewhere -> answer.leader?.takeIf(cluster::hears)?.let { Response(MISDIRECTED, Json.bytes(mapOf("auctioneer" to it.text))) }
                 ?: HttpServer.refusal(BUSY, "no leader known here", RETRY)
         }
     }
--- a/src/main/kotlin/org/elderhitch/cluster/Cluster.kt
+++ b/src/main/kotlin/org/elderhitch/cluster/Cluster.kt
@@ -162,6 +162,9 @@
         else -> HttpServer.refusal(NOT_FOUND, "no such path")
     }
 
+    /** Whether the node has been heard of late. A worker sent to one that is cut off would wait there for its lease to end. */
+    public fun hears(node: NodeName): Boolean = states[node]?.let { clock.now() - it.heard < LATELY } ?: false
+
     /** Has a controller that reaches the state service answer; null: none does. */
     public suspend fun forward(request: Request): Response? {
         val now = clock.now()
@@ -195,5 +198,6 @@
         val HELLO_TIMEOUT = 1.seconds
         val FORWARD_TIMEOUT = 1500.milliseconds
         val FRESH = 3.seconds
+        val LATELY = 2500.milliseconds
     }
 }
--- a/src/test/kotlin/org/elderhitch/app/ControllersTest.kt
+++ b/src/test/kotlin/org/elderhitch/app/ControllersTest.kt
@@ -112,6 +112,23 @@
         assertRulesKept()
     }
 
+    @Test
+    fun `workers are not sent back to a leader that is cut off`() = world {
+        delay(5.seconds)
+        val leader = assertNotNull(leader())
+        val node = names.first { it != leader }
+        val report = mapOf(
+            "stall" to "host-1", "addr" to "127.0.0.1:1", "rig" to "bench-8", "hall" to "a", "borrowedRigs" to false,
+            "shift" to 1, "tallyNo" to 1, "gavel" to 0, "crates" to emptyList<Any>(),
+        )
+        assertEquals(421 to mapOf<String, Any?>("auctioneer" to leader), ask("POST", "/checkin", report, node))
+        (names - leader + listOf("state", "workers")).forEach { cuts.add(leader to it) }
+        delay(4.seconds)
+        // Its lease still runs, so it still leads by the state service's word; a worker sent there would wait in vain.
+        assertEquals(leader, leader())
+        assertEquals(503, ask("POST", "/checkin", report, node).first)
+    }
+
     @Test
     fun `a leader that no worker reaches hands the lead over`() = world {
         submit("req-1", "daemon", 36, 0.0, mapOf("cores" to 40.0))
