--- a/src/main/kotlin/org/elderhitch/fleet/Fleet.kt
+++ b/src/main/kotlin/org/elderhitch/fleet/Fleet.kt
@@ -46,6 +46,8 @@
     val busy: Resources,
     /** The part of [busy] that would make room for production work. */
     val yielding: Resources,
+    /** The part of [busy] that is expected to end while a machine would boot. */
+    val ending: Resources,
     val usable: Boolean,
     /** How long nothing has been there; null: something is. */
     val idle: Duration?,
--- a/src/main/kotlin/org/elderhitch/fleet/FleetPlan.kt
+++ b/src/main/kotlin/org/elderhitch/fleet/FleetPlan.kt
@@ -48,7 +48,7 @@
  * onto new ones; machines that stay idle beyond their time go back, unless the spare room needs them.
  */
 public class FleetPlan(private val input: PlanInput, private val policy: FleetPolicy) {
-    private class Paper(val machine: Machine?, val market: Market, var free: Resources)
+    private class Paper(val machine: Machine?, val market: Market, var free: Resources, val later: Boolean = false)
 
     private val papers = ArrayList<Paper>()
     private val bought = LinkedHashMap<Market, Int>()
@@ -57,7 +57,13 @@
     public fun decide(): PlanOutput {
         for (planned in input.machines) {
             val type = input.catalog.types[planned.machine.type] ?: continue
-            if (planned.use == null && !late(planned, type)) papers.add(paper(planned.machine, type.resources))
+            val use = planned.use
+            if (use == null) {
+                if (!late(planned, type)) papers.add(paper(planned.machine, type.resources))
+            } else if (use.usable) {
+                // Room that tasks leave sooner than a new machine would be up; production doesn't wait for that.
+                papers.add(Paper(planned.machine, market(planned.machine), type.resources - use.busy + use.ending, later = true))
+            }
         }
         for (need in input.unplaced.sortedByDescending { it.spec.priority }) {
             val zones = HashMap(need.zones)
@@ -67,7 +73,9 @@
         return PlanOutput(bought.map { (market, count) -> Hiring(market, count) }, releases())
     }
 
-    private fun paper(machine: Machine, free: Resources) = Paper(machine, Market(machine.type, machine.zone, machine.spot), free)
+    private fun market(machine: Machine) = Market(machine.type, machine.zone, machine.spot)
+
+    private fun paper(machine: Machine, free: Resources) = Paper(machine, market(machine), free)
 
     /** Some machines take several times as long to boot, and some never do: they count for nothing until they are up. */
     private fun late(planned: PlannedMachine, type: TypeInfo): Boolean =
@@ -80,11 +88,13 @@
             (if (spec.oneZone) zones.isEmpty() || market.zone in zones else (zones[market.zone] ?: 0) < spec.mostInOneZone)
 
     private fun place(spec: JobSpec, zones: MutableMap<Zone, Int>): Boolean {
-        val paper = papers.filter { allowed(spec, it.market, zones) && spec.need.fitsIn(it.free) }.minByOrNull { it.free.gpus }
+        val paper = papers
+            .filter { (!it.later || spec.priority < Priority.PRODUCTION) && allowed(spec, it.market, zones) && spec.need.fitsIn(it.free) }
+            .minWithOrNull(compareByDescending<Paper> { it.later }.thenBy { it.free.gpus })
             ?: buy(spec, zones)
             ?: return false
         paper.free -= spec.need
-        paper.machine?.let { spareUsed.add(it.id) }
+        if (paper.later) paper.machine?.let { spareUsed.add(it.id) }
         zones.merge(paper.market.zone, 1, Int::plus)
         return true
     }
@@ -102,7 +112,7 @@
     }
 
     private fun inZone(market: Market): Int = papers.count { it.market.zone == market.zone } +
-        input.machines.count { it.use != null && it.machine.zone == market.zone }
+        input.machines.count { it.use?.usable == false && it.machine.zone == market.zone }
 
     /** The price of the part of the machine that one task takes. */
     private fun cost(spec: JobSpec, market: Market): Double {
--- a/src/main/kotlin/org/elderhitch/workers/Foreman.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Foreman.kt
@@ -375,6 +375,7 @@
         placement.certainty = Certainty.REPORTED
         if (placement.phase != task.phase) dirty = true
         placement.phase = task.phase
+        if (task.phase == TaskPhase.RUNNING && placement.runsSince == null) placement.runsSince = clock.now()
         worker.usesImage(job.spec.image, job.spec.imageGb)
         if (job.spec.kind == JobKind.GANG && (task.phase == TaskPhase.RUNNING || task.phase == TaskPhase.SAVING)) job.gangStarted = true
         if (job.ended && placement.stop == null) placement.stop = Duration.ZERO
@@ -669,13 +670,16 @@
         val uses = workers.values.filter { it.settled }.map { worker ->
             var busy = Resources.NONE
             var yielding = Resources.NONE
+            var ending = Resources.NONE
+            val boot = catalog.types[worker.type]?.boot ?: Duration.ZERO
             for (p in worker.placements.values) {
                 val job = jobs[p.task.job] ?: continue
                 busy += job.spec.need
                 if (job.spec.priority < Priority.PRODUCTION && job.spec.kind != JobKind.GANG) yielding += job.spec.need
+                if (endsWithin(job, p, boot * ENDING_SHARE, now)) ending += job.spec.need
             }
             MachineUse(
-                worker.id, busy, yielding, usable(worker, now),
+                worker.id, busy, yielding, ending, usable(worker, now),
                 idle = if (worker.placements.isEmpty() && worker.tasks.none { it.phase != TaskPhase.EXITED }) now - worker.idleSince else null,
                 faulty = worker.sick,
             )
@@ -684,6 +688,14 @@
         ports.fleet(FleetMessage.Demand(output.unplaced, uses, services, barrierClosed))
     }
 
+    /** By the owner's estimate, which is often wrong: a task over it is given as long again as a part of it. */
+    private fun endsWithin(job: JobState, placement: Placement, span: Duration, now: Moment): Boolean {
+        if (job.spec.kind == JobKind.SERVICE) return false
+        val since = placement.runsSince ?: return false
+        val left = job.spec.estimate - (now - since)
+        return maxOf(left, job.spec.estimate * OVERRUN_SHARE) < span
+    }
+
     private companion object {
         val TICK = 100.milliseconds
         val ROUND_EVERY = 1.seconds
@@ -709,6 +721,8 @@
         val ERROR_BACKOFF = 2.seconds
         val MAX_BACKOFF = 60.seconds
         const val MAX_DOUBLINGS = 5
+        const val ENDING_SHARE = 0.5
+        const val OVERRUN_SHARE = 0.3
         const val JOB_AT_FAULT = 3
         const val MACHINE_AT_FAULT = 2
         const val LOTS = 1e12
--- a/src/main/kotlin/org/elderhitch/workers/WorkerState.kt
+++ b/src/main/kotlin/org/elderhitch/workers/WorkerState.kt
@@ -34,10 +34,12 @@
 ) {
     var phase: TaskPhase = TaskPhase.FETCHING
 
-    /** Told to stop, with this grace. */
+    /** Told to stop, with this grace; a withdrawal may still cut a saving short. */
     var stop: Duration? = null
 
-    /** A stop for room is told once; a withdrawal after it may cut the saving short. */
+    /** When it was first seen running; null: it has not been. */
+    var runsSince: Moment? = null
+
     val zone: Zone get() = worker.zone
 }
 
--- a/src/test/kotlin/org/elderhitch/fleet/FleetPlanTest.kt
+++ b/src/test/kotlin/org/elderhitch/fleet/FleetPlanTest.kt
@@ -29,9 +29,9 @@
         Image("img"), 1.0, 40.seconds, Duration.ZERO, Duration.ZERO, null,
     )
 
-    private fun machine(n: Int, idle: Duration? = null, age: Duration = 500.seconds, up: Boolean = true, busy: Resources = Resources.NONE) = PlannedMachine(
+    private fun machine(n: Int, idle: Duration? = null, age: Duration = 500.seconds, up: Boolean = true, busy: Resources = Resources.NONE, ending: Resources = Resources.NONE) = PlannedMachine(
         Machine(MachineId("m$n"), type.name, Zone("a"), false), now - age,
-        if (up) MachineUse(MachineId("m$n"), busy, Resources.NONE, usable = true, idle = idle, faulty = false) else null,
+        if (up) MachineUse(MachineId("m$n"), busy, Resources.NONE, ending, usable = true, idle = idle, faulty = false) else null,
     )
 
     private fun plan(
@@ -76,6 +76,15 @@
         assertEquals(5, plan(List(5) { machine(it, idle = 50.seconds) }, arriving = 6.0).release.size)
     }
 
+    @Test
+    fun `nothing is rented for what ends before a machine would be up, but for production`() {
+        val full = listOf(machine(1, busy = type.resources, ending = Resources(32.0, 8.0, 240.0)))
+        assertEquals(0, plan(full, listOf(Unplaced(spec(tasks = 8), 8, emptyMap()))).hire.size)
+        assertEquals(1, plan(full, listOf(Unplaced(spec(tasks = 9), 9, emptyMap()))).hire.sumOf { it.count })
+        val production = spec(JobKind.SERVICE, tasks = 1, spot = false, priority = Priority.PRODUCTION)
+        assertEquals(1, plan(full, listOf(Unplaced(production, 1, emptyMap()))).hire.sumOf { it.count })
+    }
+
     @Test
     fun `room for services is kept, not returned`() {
         val service = spec(JobKind.SERVICE, spot = false, priority = Priority.PRODUCTION)
