--- a/src/main/kotlin/org/elderhitch/placement/Round.kt
+++ b/src/main/kotlin/org/elderhitch/placement/Round.kt
@@ -106,13 +106,15 @@
 
     /** What speaks against a machine, in seconds: the fetch, and what it costs others when an empty machine is opened. */
     private fun detour(spec: JobSpec, machine: MachineView): Double {
-        val fetch = if (spec.image in machine.images) 0.0 else spec.imageGb / machine.fetchGbPerS.coerceAtLeast(SLOWEST_FETCH)
         val opening = if (machine.empty) OPENING_S else 0.0
         // Cheap room is for those who may use it; the rest stays free for those who may not.
         val dear = if (spec.spotAllowed && !machine.spot) DEAR_S else 0.0
-        return fetch + opening + dear
+        return fetch(spec, machine) + opening + dear
     }
 
+    private fun fetch(spec: JobSpec, machine: MachineView): Double =
+        if (spec.image in machine.images) 0.0 else spec.imageGb / machine.fetchGbPerS.coerceAtLeast(SLOWEST_FETCH)
+
     private fun placeTasks(job: JobView) {
         val spec = job.spec
         val zones = HashMap(job.zones)
@@ -121,11 +123,12 @@
         for (index in job.pending) {
             if (!input.quota.allows(spec.team, spec.need)) break
             val machine = candidates.firstOrNull { spec.need.fitsIn(it.free) && zoneAllows(spec, zones, it.zone) }
-            if (machine == null) {
-                left.add(index)
-                continue
+            when {
+                machine == null -> left.add(index)
+                // Better wait for a place that has the image than fetch it elsewhere for longer.
+                fetch(spec, machine) > WORTH_STOPPING_S && makeRoom(spec, zones) { spec.image in it.images } -> Unit
+                else -> take(job, index, machine, zones)
             }
-            take(job, index, machine, zones)
         }
         var missing = left.size
         while (missing > 0 && makeRoom(spec, zones)) missing--
@@ -147,8 +150,8 @@
     }
 
     /** Finds room that is being left, or makes some at the cost of the least important task; true if it will come. */
-    private fun makeRoom(spec: JobSpec, zones: MutableMap<Zone, Int>): Boolean {
-        val allowed = input.machines.filter { allowed(it, spec) && zoneAllows(spec, zones, it.zone) }
+    private fun makeRoom(spec: JobSpec, zones: MutableMap<Zone, Int>, where: (MachineView) -> Boolean = { true }): Boolean {
+        val allowed = input.machines.filter { where(it) && allowed(it, spec) && zoneAllows(spec, zones, it.zone) }
         val coming = allowed.firstOrNull { spec.need.fitsIn(it.free + it.leaving) }
         val machine = coming ?: allowed
             .filter { m -> m.victims.any { it.priority < spec.priority } && roomAfterStops(m, spec) != null }
@@ -234,6 +237,9 @@
     private companion object {
         const val SLOWEST_FETCH = 0.01
         const val OPENING_S = 12.0
+
+        // Stopping a less important task takes its time to save and a report or two; a fetch longer than this is worse.
+        const val WORTH_STOPPING_S = 12.0
         const val DEAR_S = 6.0
     }
 }
--- a/src/test/kotlin/org/elderhitch/placement/RoundTest.kt
+++ b/src/test/kotlin/org/elderhitch/placement/RoundTest.kt
@@ -150,6 +150,22 @@
         assertEquals(0, decide(listOf(machine("m1", free = taken, victims = victims(Priority.LOW))), listOf(job(spec(2, priority = Priority.LOW)))).stopped.size)
     }
 
+    @Test
+    fun `a place that has the image is made free rather than a long fetch begun elsewhere`() {
+        val victims = List(8) { VictimView(TaskId(JobId("req-9"), it), Priority.LOW, Resources(4.0, 1.0, 30.0)) }
+        fun warm() = machine("m1", free = Resources(0.0, 0.0, 0.0), images = setOf(Image("img")), victims = victims)
+        fun service(gb: Double) = job(spec(1, JobKind.SERVICE, 1, Priority.PRODUCTION, spot = false).copy(imageGb = gb))
+        val long = decide(listOf(warm(), machine("m2")), listOf(service(50.0)))
+        assertEquals(0 to 1, long.placed.size to long.stopped.size)
+        assertTrue(long.unplaced.isEmpty(), "nothing is to be rented for it")
+        val short = decide(listOf(warm(), machine("m2")), listOf(service(5.0)))
+        assertEquals(1 to 0, short.placed.size to short.stopped.size)
+        // Room that is already being left is waited for, and nothing more is stopped.
+        val leaving = warm().apply { leaving = Resources(4.0, 1.0, 30.0) }
+        val second = decide(listOf(leaving, machine("m2")), listOf(service(50.0)))
+        assertEquals(0 to 0, second.placed.size to second.stopped.size)
+    }
+
     @Test
     fun `what a waiting gang could use is kept from less important work`() {
         val whole = Resources(43.0, 8.0, 230.0)
