A takeover waits only for machines that were given tasks; room is given away in the same answer

Ruled out: slow reports (the last worker with tasks settled within 4 s). Intents now say which machines are up, before their first task. Starts also waited for the report after next.

--- a/src/main/kotlin/org/elderhitch/fleet/Renter.kt
+++ b/src/main/kotlin/org/elderhitch/fleet/Renter.kt
@@ -60,6 +60,10 @@
     public data class Unheard(val machines: List<MachineId>) : FleetMessage
     public data class CatalogIs(val catalog: Catalog) : FleetMessage
 
+    /** A machine of ours reports: it may be given tasks as soon as that is recorded. */
+    public data class CameUp(val machine: MachineId) : FleetMessage
+    public data class UpWritten(val term: Term, val name: String, val machines: Set<MachineId>, val done: Boolean) : FleetMessage
+
     public data class HireDone(val term: Term, val name: String, val outcome: HireOutcome) : FleetMessage
     public data class HireWritten(val term: Term, val name: String, val version: Revision?) : FleetMessage
     public data class Released(val term: Term, val machines: List<MachineId>, val done: Boolean) : FleetMessage
@@ -89,6 +93,11 @@
 ) : Actor<FleetMessage>(scope) {
     private class Intent(val name: String, val market: Market, val count: Int) {
         var machines: List<MachineId>? = null
+
+        /** Machines that may have been given tasks: recorded before their first one is. */
+        val up = HashSet<MachineId>()
+        var cameUp = HashSet<MachineId>()
+        var writingUp = false
         var busy = false
         var retryAt = Moment.NEVER
     }
@@ -147,6 +156,8 @@
             is FleetMessage.Release -> release(message.machines, message.reason)
             is FleetMessage.Unheard -> release(message.machines, "unheard")
             is FleetMessage.CatalogIs -> catalog = message.catalog
+            is FleetMessage.CameUp -> cameUp(message.machine)
+            is FleetMessage.UpWritten -> upWritten(message)
             is FleetMessage.HireDone -> hireDone(message)
             is FleetMessage.HireWritten -> hireWritten(message)
             is FleetMessage.Released -> released(message)
@@ -171,6 +182,7 @@
             val market = Market(MachineType(value.string("rig")), Zone(value.string("hall")), value.boolean("borrowedRigs"))
             val intent = Intent(subject.name, market, value.count("count").toInt())
             intent.machines = value.stringsOrNull("stalls")?.map(::MachineId)
+            value.stringsOrNull("up")?.mapTo(intent.up, ::MachineId)
             intents[subject.name] = intent
         } catch (e: MalformedJson) {
             log.error("intent malformed key={} reason=\"{}\"", entry.key, e.message)
@@ -182,7 +194,11 @@
         "hall" to intent.market.zone.name,
         "borrowedRigs" to intent.market.spot,
         "count" to intent.count,
-    ).apply { intent.machines?.let { put("stalls", it.map(MachineId::text)) } }
+    ).apply {
+        intent.machines?.let { put("stalls", it.map(MachineId::text)) }
+        val up = intent.up + intent.cameUp
+        if (up.isNotEmpty()) put("up", up.map(MachineId::text))
+    }
 
     private fun tenureIs(next: Tenure) {
         val before = leading()?.term
@@ -206,6 +222,8 @@
         val now = clock.now()
         for (intent in intents.values) {
             intent.busy = false
+            intent.writingUp = false
+            intent.cameUp.clear()
             intent.machines?.forEach { hold(Machine(it, intent.market.type, intent.market.zone, intent.market.spot), intent.name, now) }
         }
         tick()
@@ -220,7 +238,38 @@
         // A request left open may have rented machines that no one has heard of yet.
         if (censusSent || !complete || intents.values.any { it.machines == null }) return
         censusSent = true
-        ports.foreman(ForemanMessage.Census(leading.term, held.values.map { it.machine }))
+        val (mayRun, fresh) = held.values.partition { it.machine.id in intents[it.intent]?.up.orEmpty() }
+        ports.foreman(ForemanMessage.Census(leading.term, mayRun.map { it.machine }, fresh.map { it.machine }))
+    }
+
+    private fun cameUp(id: MachineId) {
+        val leading = leading() ?: return
+        val intent = intents[held[id]?.intent] ?: return
+        if (id in intent.up) {
+            ports.foreman(ForemanMessage.MachineCleared(id))
+            return
+        }
+        intent.cameUp.add(id)
+        if (!intent.writingUp) writeUp(leading, intent)
+    }
+
+    private fun writeUp(leading: Tenure.Leading, intent: Intent) {
+        intent.writingUp = true
+        val written = intent.cameUp.toSet()
+        write(leading, intent) { version -> tell(FleetMessage.UpWritten(leading.term, intent.name, written, version != null)) }
+    }
+
+    private fun upWritten(message: FleetMessage.UpWritten) {
+        val leading = leading() ?: return
+        val intent = intents[message.name] ?: return
+        if (message.term != leading.term) return
+        intent.writingUp = false
+        if (message.done) {
+            intent.up.addAll(message.machines)
+            intent.cameUp.removeAll(message.machines)
+            message.machines.forEach { ports.foreman(ForemanMessage.MachineCleared(it)) }
+        }
+        if (intent.cameUp.isNotEmpty()) writeUp(leading, intent)
     }
 
     // ---- rounds ------------------------------------------------------------------------------------------------
@@ -363,6 +412,7 @@
         } else {
             val now = clock.now()
             machines.forEach { hold(Machine(it, intent.market.type, intent.market.zone, intent.market.spot), intent.name, now) }
+            if (intent.cameUp.isNotEmpty() && !intent.writingUp) writeUp(leading, intent)
         }
     }
 
--- a/src/main/kotlin/org/elderhitch/workers/Foreman.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Foreman.kt
@@ -56,12 +56,15 @@
     /** The table of jobs holds all that was recorded before the claim. */
     public data class TableComplete(val term: Term) : ForemanMessage
 
-    /** All machines that may run something of an earlier term. */
-    public data class Census(val term: Term, val machines: Collection<Machine>) : ForemanMessage
+    /** All machines that may run something of an earlier term, and those that never were given anything. */
+    public data class Census(val term: Term, val mayRun: Collection<Machine>, val fresh: Collection<Machine>) : ForemanMessage
 
     /** A machine that is ours to use, its intent being recorded. */
     public data class MachineKnown(val machine: Machine) : ForemanMessage
 
+    /** It is recorded that the machine may be given tasks, so a later term waits for its word. */
+    public data class MachineCleared(val machine: MachineId) : ForemanMessage
+
     /** Surely gone, with all on it. */
     public data class MachineGone(val machine: MachineId, val proof: String) : ForemanMessage
     public data class CatalogIs(val catalog: Catalog) : ForemanMessage
@@ -110,6 +113,7 @@
     private val jobs = LinkedHashMap<JobId, JobState>()
     private val workers = HashMap<MachineId, WorkerState>()
     private val known = HashMap<MachineId, Machine>()
+    private val cleared = HashSet<MachineId>()
     private val gone = HashSet<MachineId>()
     private var tenure: Tenure = Tenure.Following(null, Term.NONE)
     private var catalog: Catalog = Catalog.EMPTY
@@ -151,6 +155,10 @@
                 known[message.machine.id] = message.machine
                 dirty = true
             }
+            is ForemanMessage.MachineCleared -> {
+                cleared.add(message.machine)
+                dirty = true
+            }
             is ForemanMessage.MachineGone -> machineGone(message.machine, message.proof)
             is ForemanMessage.CatalogIs -> {
                 catalog = message.catalog
@@ -186,6 +194,7 @@
         }
         jobs.values.removeAll { it.ended }
         known.clear()
+        cleared.clear()
         gone.clear()
         tableComplete = false
         census = null
@@ -198,8 +207,9 @@
 
     private fun census(message: ForemanMessage.Census) {
         if (message.term != term()) return
-        message.machines.forEach { known[it.id] = it }
-        census = message.machines.map { it.id }.filterTo(HashSet()) { workers[it]?.settled != true && it !in gone }
+        (message.mayRun + message.fresh).forEach { known[it.id] = it }
+        message.mayRun.mapTo(cleared) { it.id }
+        census = message.mayRun.map { it.id }.filterTo(HashSet()) { workers[it]?.settled != true && it !in gone }
         dirty = true
         checkBarrier()
     }
@@ -296,6 +306,10 @@
         // It was silent, its release did not go through, and it is back.
         if (now - worker.releaseAsked > RELEASE_AGAIN * 2) worker.releaseAsked = Moment.NEVER
         if (report.machine !in known) ports.fleet(FleetMessage.Stray(report))
+        if (worker.id in known && worker.id !in cleared && now - worker.clearAsked > CLEAR_AGAIN) {
+            worker.clearAsked = now
+            ports.fleet(FleetMessage.CameUp(worker.id))
+        }
         if (report.term < leading.term) {
             // It may still execute an earlier leader's command; its list counts once it has seen our term.
             worker.lastAnswer = now
@@ -307,6 +321,8 @@
             return ReportAnswer.Accepted(leading.term, emptyList())
         }
         settle(worker, report)
+        // Room that this report brings is given away in its own answer: the next report may be seconds off.
+        if (dirty && leading.mayCommand(now) && now - lastRound > ROUND_LEAST) round(leading, now)
         val commands = if (leading.mayCommand(now)) commands(worker, now) else emptyList()
         worker.lastAnswer = now
         return ReportAnswer.Accepted(leading.term, commands)
@@ -453,6 +469,7 @@
 
     private fun machineGone(id: MachineId, proof: String) {
         known.remove(id)
+        cleared.remove(id)
         gone.add(id)
         census?.remove(id)
         workers.remove(id)?.let { worker ->
@@ -515,11 +532,7 @@
         }
         if (!tableComplete || !leading.mayCommand(now)) return
         record(leading)
-        if (dirty || now - lastRound > ROUND_EVERY) {
-            dirty = false
-            lastRound = now
-            round(leading, now)
-        }
+        if (dirty || now - lastRound > ROUND_EVERY) round(leading, now)
     }
 
     private fun record(leading: Tenure.Leading) {
@@ -544,6 +557,8 @@
 
     private fun round(leading: Tenure.Leading, now: Moment) {
         if (catalog.isEmpty) return
+        dirty = false
+        lastRound = now
         drainNoticed()
         val input = snapshot(leading, now)
         val output = Round(input).decide()
@@ -595,7 +610,7 @@
     }
 
     private fun usable(worker: WorkerState, now: Moment): Boolean =
-        worker.settled && worker.notice == null && !worker.sick && worker.id in known &&
+        worker.settled && worker.notice == null && !worker.sick && worker.id in cleared &&
             now - worker.lastReport <= suspectAfter && worker.releaseAsked == Moment.NEVER
 
     private fun view(worker: WorkerState, shunnedBy: Set<JobId>): MachineView? {
@@ -699,6 +714,7 @@
     private companion object {
         val TICK = 100.milliseconds
         val ROUND_EVERY = 1.seconds
+        val ROUND_LEAST = 25.milliseconds
         val COUNTS_EVERY = 1.seconds
 
         // A report may be a quarter late; its answer may be lost, which the worker notes after 4 s; and then it asks
@@ -709,6 +725,7 @@
         val UNHEARD_MARGIN = 3.seconds
         val LEASE_MARGIN = 500.milliseconds
         val RELEASE_AGAIN = 5.seconds
+        val CLEAR_AGAIN = 2.seconds
         val RESIGN_AFTER = 15.seconds
         const val RESIGN_LEAST = 4
         const val ATTEMPTS_PER_TERM_BITS = 24
--- a/src/main/kotlin/org/elderhitch/workers/WorkerState.kt
+++ b/src/main/kotlin/org/elderhitch/workers/WorkerState.kt
@@ -64,6 +64,7 @@
     val erredTasks: HashSet<TaskId> = HashSet()
     var sick: Boolean = false
     var releaseAsked: Moment = Moment.NEVER
+    var clearAsked: Moment = Moment.NEVER
 
     /** Images by last use, the latest last; what the machine most likely keeps. */
     private val images = LinkedHashMap<Image, Double>()
