--- a/src/main/kotlin/org/elderhitch/app/Controller.kt
+++ b/src/main/kotlin/org/elderhitch/app/Controller.kt
@@ -1,5 +1,8 @@
 package org.elderhitch.app
 
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -16,6 +19,7 @@
 import org.elderhitch.http.Request
 import org.elderhitch.http.Response
 import org.elderhitch.http.Transport
+import org.elderhitch.jobs.Image
 import org.elderhitch.jobs.JobBook
 import org.elderhitch.jobs.JobDesk
 import org.elderhitch.jobs.JobEvent
@@ -30,22 +34,24 @@
 import org.elderhitch.leadership.Term
 import org.elderhitch.settings.Settings
 import org.elderhitch.store.Change
+import org.elderhitch.store.Condition
 import org.elderhitch.store.Entry
 import org.elderhitch.store.Feed
 import org.elderhitch.store.FeedListener
 import org.elderhitch.store.Keys
+import org.elderhitch.store.Purpose
 import org.elderhitch.store.RateBudget
 import org.elderhitch.store.Revision
 import org.elderhitch.store.StateClient
+import org.elderhitch.store.Write
 import org.elderhitch.time.Moment
 import org.elderhitch.time.SteadyClock
 import org.elderhitch.workers.FinishedBatch
 import org.elderhitch.workers.Foreman
 import org.elderhitch.workers.ForemanMessage
 import org.elderhitch.workers.ForemanPorts
-import kotlin.random.Random
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
+import org.elderhitch.workers.ImageHints
+import org.elderhitch.workers.MachineId
 
 /** One controller: its slices, and who tells whom what. Clock, random numbers and network come from outside. */
 public class Controller(
@@ -65,6 +71,7 @@
     private var failing = false
     private var running: Map<JobId, Int> = emptyMap()
     private var completing: Term? = null
+    private var lastHint: Map<String, Any?> = emptyMap()
 
     private val client = StateClient(transport, settings.state, settings.stateLimits, stateRequests, stateWrites) { answered ->
         failing = !answered
@@ -148,6 +155,7 @@
             book.tell(JobMessage.Snapshot(entries))
             renter.tell(FleetMessage.Snapshot(entries))
             entries.firstOrNull { it.key == Keys.TYPES }?.let { catalog.stored(it) }
+            entries.firstOrNull { it.key == Keys.IMAGES }?.let { hinted(it) }
             leadership.tell(LeadershipMessage.LeaderSeen(entries.firstOrNull { it.key == Keys.LEADER }))
         }
 
@@ -155,11 +163,14 @@
             if (changes.isEmpty()) return
             book.tell(JobMessage.Changed(changes))
             renter.tell(FleetMessage.Changed(changes))
+            changes.lastOrNull { it.key == Keys.IMAGES }?.let { change -> (change as? Change.Put)?.let { hinted(it.entry) } }
             val last = changes.lastOrNull { it.key == Keys.LEADER } ?: return
             leadership.tell(LeadershipMessage.LeaderSeen((last as? Change.Put)?.entry))
         }
     }
 
+    private fun hinted(entry: Entry) = foreman.tell(ForemanMessage.ImagesHinted(ImageHints.decode(entry.value)))
+
     private fun foremanPorts(): ForemanPorts = object : ForemanPorts {
         override fun fleet(message: FleetMessage) = renter.tell(message)
 
@@ -177,6 +188,15 @@
             scope.launch { recorder.forget(tenure, job, blocks) }
         }
 
+        override fun hint(tenure: Tenure.Leading, images: Map<MachineId, Map<Image, Double>>) {
+            val value = ImageHints.encode(images, settings.stateLimits.valueBytes)
+            if (value == lastHint) return
+            lastHint = value
+            scope.launch {
+                client.commit(listOf(Condition(Keys.TERM, tenure.counter)), listOf(Write.Put(Keys.IMAGES, value)), Purpose.OTHER)
+            }
+        }
+
         override fun running(counts: Map<JobId, Int>) {
             running = counts
             book.tell(JobMessage.Running(counts))
--- a/src/main/kotlin/org/elderhitch/store/Keys.kt
+++ b/src/main/kotlin/org/elderhitch/store/Keys.kt
@@ -12,6 +12,7 @@
     public const val TERM: String = "v/a/term"
     public const val LEADER: String = "v/a/leader"
     public const val TYPES: String = "v/a/types"
+    public const val IMAGES: String = "v/a/images"
     private const val JOB = "v/a/job/"
     private const val FINISHED = "v/a/fin/"
     private const val HIRE = "v/a/hire/"
--- a/src/main/kotlin/org/elderhitch/workers/Foreman.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Foreman.kt
@@ -10,6 +10,7 @@
 import org.elderhitch.fleet.MachineUse
 import org.elderhitch.fleet.Machine
 import org.elderhitch.jobs.FinishedTasks
+import org.elderhitch.jobs.Image
 import org.elderhitch.jobs.JobEvent
 import org.elderhitch.jobs.JobId
 import org.elderhitch.jobs.JobKind
@@ -69,6 +70,9 @@
     public data class MachineGone(val machine: MachineId, val proof: String) : ForemanMessage
     public data class CatalogIs(val catalog: Catalog) : ForemanMessage
 
+    /** What an earlier leader left behind about images on machines. */
+    public data class ImagesHinted(val images: Map<MachineId, Map<Image, Double>>) : ForemanMessage
+
     /** The former leader has surely stopped answering workers by now. */
     public data class FormerStopped(val term: Term) : ForemanMessage
     public data class Recorded(val term: Term, val finished: Map<JobId, List<Int>>) : ForemanMessage
@@ -86,6 +90,9 @@
     /** The finished blocks of an ended job are of no more use. */
     public fun forget(tenure: Tenure.Leading, job: JobId, blocks: Set<Int>)
 
+    /** Leaves word of the images on machines for a later term. */
+    public fun hint(tenure: Tenure.Leading, images: Map<MachineId, Map<Image, Double>>)
+
     public fun running(counts: Map<JobId, Int>)
 }
 
@@ -115,6 +122,8 @@
     private val known = HashMap<MachineId, Machine>()
     private val cleared = HashSet<MachineId>()
     private val gone = HashSet<MachineId>()
+    private var hinted: Map<MachineId, Map<Image, Double>> = emptyMap()
+    private var lastHint = Moment.NEVER
     private var tenure: Tenure = Tenure.Following(null, Term.NONE)
     private var catalog: Catalog = Catalog.EMPTY
     private var tableComplete = false
@@ -164,6 +173,7 @@
                 catalog = message.catalog
                 dirty = true
             }
+            is ForemanMessage.ImagesHinted -> if (leading() == null) hinted = message.images
             is ForemanMessage.FormerStopped -> if (message.term == term() && !barrierClosed) {
                 barrierEnd = minOf(barrierEnd, clock.now() + workerTimes.lease.stretched() + LEASE_MARGIN)
             }
@@ -290,7 +300,9 @@
         // A message from a machine that is surely gone was held up on its way.
         if (!leading.mayAnswer(now) || report.machine in gone) return ReportAnswer.Elsewhere(null)
         val worker = workers.getOrPut(report.machine) {
-            WorkerState(report.machine, report.type, report.zone, report.spot, now)
+            WorkerState(report.machine, report.type, report.zone, report.spot, now).also { fresh ->
+                hinted[report.machine]?.forEach { (image, gb) -> fresh.usesImage(image, gb) }
+            }
         }
         val order = worker.order
         // Late reports tell what was: answering one would renew nothing, and believing one would free a task.
@@ -532,6 +544,10 @@
         }
         if (!tableComplete || !leading.mayCommand(now)) return
         record(leading)
+        if (now - lastHint > HINT_EVERY) {
+            lastHint = now
+            ports.hint(leading, workers.values.associate { it.id to it.usedImages() })
+        }
         if (dirty || now - lastRound > ROUND_EVERY) round(leading, now)
     }
 
@@ -716,6 +732,7 @@
         val ROUND_EVERY = 1.seconds
         val ROUND_LEAST = 25.milliseconds
         val COUNTS_EVERY = 1.seconds
+        val HINT_EVERY = 10.seconds
 
         // A report may be a quarter late; its answer may be lost, which the worker notes after 4 s; and then it asks
         // the next node a second later, which may send it back here.
--- a/src/main/kotlin/org/elderhitch/workers/WorkerState.kt
+++ b/src/main/kotlin/org/elderhitch/workers/WorkerState.kt
@@ -74,6 +74,9 @@
         images[image] = gb
     }
 
+    /** All images ever used here with their sizes, the latest last. */
+    fun usedImages(): Map<Image, Double> = images
+
     fun cachedImages(cacheGb: Double): Set<Image> {
         var room = cacheGb
         val kept = HashSet<Image>()
