--- a/src/main/kotlin/org/elderhitch/app/Controller.kt
+++ b/src/main/kotlin/org/elderhitch/app/Controller.kt
@@ -81,7 +81,7 @@
     private val leadership: Leadership = Leadership(scope, settings.node, incarnation, client, times, clock, random)
     private val cloud = CloudClient(transport, settings.cloud, RateBudget(clock, settings.cloudLimits.requestsPerS * CLOUD_SHARE))
     private val foreman: Foreman = Foreman(scope, times, settings.workers, settings.teams, clock, foremanPorts())
-    private val renter: Renter = Renter(scope, cloud, client, policy, settings.cloudLimits.listLag, clock, fleetPorts())
+    private val renter: Renter = Renter(scope, cloud, client, policy, instantClasses(), settings.cloudLimits.listLag, clock, fleetPorts())
     private val recorder = Recorder(client, book, settings.stateLimits.txnOps)
     private val catalog: CatalogKeeper = CatalogKeeper(scope, cloud, client, settings.stateLimits.valueBytes, ::catalogIs)
     private val feed: Feed = Feed(scope, client, clock, feedListener())
@@ -108,6 +108,11 @@
         meters.gauge("term") { (leadership.tenure.value as? Tenure.Leading)?.term?.number ?: 0 }
     }
 
+    /** Classes whose aim on starting leaves no time to stop other work first: a save, two reports and a round. */
+    private fun instantClasses(): Set<String> = settings.objectives
+        .filter { it.kind == "wait" && it.within != null && it.within < settings.workers.report * 2 + STOPPING }
+        .map { it.jobClass }.toSet()
+
     private fun share(whole: Double, part: Double): Double =
         if (settings.peers.isEmpty()) whole * USABLE else whole * USABLE * part
 
@@ -247,6 +252,7 @@
         const val FOLLOWER_SHARE = 0.2
         const val CLOUD_SHARE = 0.8
         val CONTACT_FRESH = 13.seconds
+        val STOPPING = 6.seconds
         val SYNC_RETRY = 100.milliseconds
     }
 }
--- a/src/main/kotlin/org/elderhitch/fleet/FleetPlan.kt
+++ b/src/main/kotlin/org/elderhitch/fleet/FleetPlan.kt
@@ -1,6 +1,5 @@
 package org.elderhitch.fleet
 
-import org.elderhitch.jobs.JobKind
 import org.elderhitch.jobs.JobSpec
 import org.elderhitch.jobs.Priority
 import org.elderhitch.jobs.Resources
@@ -37,7 +36,8 @@
     public val now: Moment,
 )
 
-public class Headroom(public val spec: JobSpec, public val tasks: Int)
+/** [free]: at once, not only after less important tasks have made room. */
+public class Headroom(public val spec: JobSpec, public val tasks: Int, public val free: Boolean = false)
 
 public data class Hiring(val market: Market, val count: Int)
 
@@ -50,6 +50,8 @@
 public class FleetPlan(private val input: PlanInput, private val policy: FleetPolicy) {
     private class Paper(val machine: Machine?, val market: Market, var free: Resources, val later: Boolean = false)
 
+    private class Spare(val machine: Machine, var free: Resources, val yielding: Resources)
+
     private val papers = ArrayList<Paper>()
     private val bought = LinkedHashMap<Market, Int>()
     private val spareUsed = HashSet<MachineId>()
@@ -126,24 +128,24 @@
         return share * if (market.spot) type.spotPrice else type.price
     }
 
-    /** Room that services find free, or held only by tasks that would make room for them. */
+    /** Room that services find free, or, where their users can wait that long, held only by tasks that would make room for them. */
     private fun keepHeadroom() {
-        val spare = ArrayList<Paper>()
+        val spare = ArrayList<Spare>()
         for (planned in input.machines) {
             val use = planned.use ?: continue
             val type = input.catalog.types[planned.machine.type] ?: continue
-            if (use.usable) spare.add(paper(planned.machine, type.resources - use.busy + use.yielding))
+            if (use.usable) spare.add(Spare(planned.machine, type.resources - use.busy, use.yielding))
         }
-        for (want in input.headroom) {
-            val production = want.spec.priority == Priority.PRODUCTION
+        for (want in input.headroom.sortedByDescending { it.free }) {
             val spec = want.spec.copy(spread = false, zone = null)
             repeat(want.tasks) {
-                val fitting = spare.filter { allowed(spec, it.market, emptyMap()) && spec.need.fitsIn(it.free) }
-                    .minWithOrNull(compareBy({ it.free.gpus }, { it.machine?.id?.text.orEmpty() }))
+                val fitting = spare
+                    .filter { allowed(spec, market(it.machine), emptyMap()) && spec.need.fitsIn(if (want.free) it.free else it.free + it.yielding) }
+                    .minWithOrNull(compareBy({ it.free.gpus + it.yielding.gpus }, { it.machine.id.text }))
                 if (fitting != null) {
                     fitting.free -= spec.need
-                    fitting.machine?.let { spareUsed.add(it.id) }
-                } else if (production || spec.kind != JobKind.SERVICE) {
+                    spareUsed.add(fitting.machine.id)
+                } else if (spec.priority == Priority.PRODUCTION) {
                     place(spec, HashMap())
                 }
             }
@@ -192,12 +194,12 @@
         private const val STAND_BY_SHARE = 0.3
         private val LEAST_CHARGED = 60.seconds
 
-        /** How many tasks of a shape arrive while a machine boots, and how many the loss of a machine would strand. */
-        public fun spareTasks(spec: JobSpec, type: TypeInfo, arrivalsPerS: Double, policy: FleetPolicy): Int {
-            val lead = type.boot + policy.headroom
-            val perMachine = tasksPerMachine(spec, type)
-            return ceil(arrivalsPerS * lead.inWholeMilliseconds / MS + policy.spareMachines * perMachine).toInt()
-        }
+        /** How many tasks of a shape arrive while a machine boots. */
+        public fun arrivingTasks(type: TypeInfo, arrivalsPerS: Double, policy: FleetPolicy): Double =
+            arrivalsPerS * (type.boot + policy.headroom).inWholeMilliseconds / MS
+
+        /** How many tasks of a shape the loss of a machine would strand. */
+        public fun strandedTasks(spec: JobSpec, type: TypeInfo, policy: FleetPolicy): Double = policy.spareMachines * tasksPerMachine(spec, type)
 
         /** How many tasks of a shape a machine holds. */
         public fun tasksPerMachine(spec: JobSpec, type: TypeInfo): Double = minOf(
--- a/src/main/kotlin/org/elderhitch/fleet/Renter.kt
+++ b/src/main/kotlin/org/elderhitch/fleet/Renter.kt
@@ -12,6 +12,7 @@
 import org.elderhitch.leadership.LeadershipMessage
 import org.elderhitch.leadership.Tenure
 import org.elderhitch.leadership.Term
+import org.elderhitch.placement.KeptFree
 import org.elderhitch.placement.Unplaced
 import org.elderhitch.settings.Zone
 import org.elderhitch.store.Change
@@ -30,6 +31,7 @@
 import org.elderhitch.workers.MachineId
 import org.elderhitch.workers.Report
 import org.slf4j.LoggerFactory
+import kotlin.math.ceil
 import kotlin.math.exp
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -87,6 +89,8 @@
     private val cloud: CloudClient,
     private val store: StateClient,
     private val policy: FleetPolicy,
+    /** Classes whose users don't wait as long as it takes to stop less important work. */
+    private val instant: Set<String>,
     private val listLag: Duration,
     private val clock: SteadyClock,
     private val ports: FleetPorts,
@@ -302,15 +306,17 @@
             }
         }
         val machines = held.values.filter { !it.releasing && !it.failed }.map { PlannedMachine(it.machine, it.hiredAt, uses[it.machine.id]) }
+        val headroom = headroom(demand, now)
+        ports.foreman(ForemanMessage.KeepFree(headroom.filter { it.free }.map { KeptFree(it.spec, it.tasks) }))
         val output = FleetPlan(
-            PlanInput(catalog, machines + coming, demand.unplaced, headroom(demand, now), arriving(now), closed.keys.toSet(), now),
+            PlanInput(catalog, machines + coming, demand.unplaced, headroom, arriving(now), closed.keys.toSet(), now),
             policy,
         ).decide()
         if (log.isDebugEnabled) {
             log.debug(
                 "plan machines={} booting={} empty={} unplaced={} headroom={} hire={} release={}",
                 machines.size, machines.count { it.use == null }, machines.count { it.use?.idle != null },
-                demand.unplaced.map { "${it.spec.id}:${it.spec.jobClass}x${it.count}" }, headroom(demand, now).map { it.tasks },
+                demand.unplaced.map { "${it.spec.id}:${it.spec.jobClass}x${it.count}" }, headroom.map { it.tasks },
                 output.hire, output.release.size,
             )
         }
@@ -339,11 +345,17 @@
     private fun decayed(arrivals: Arrivals, now: Moment): Double = arrivals.ratePerS * exp(-((now - arrivals.at) / ARRIVALS_OVER))
 
     private fun headroom(demand: FleetMessage.Demand, now: Moment): List<Headroom> =
-        demand.services.groupBy { it.jobClass }.values.mapNotNull { specs ->
+        demand.services.groupBy { it.jobClass }.values.flatMap { specs ->
             val spec = specs.maxBy { it.need.gpus }
-            val type = catalog.fitting(spec).minByOrNull { it.price } ?: return@mapNotNull null
-            val rate = arrivals[spec.jobClass]?.let { decayed(it, now) } ?: 0.0
-            Headroom(spec, FleetPlan.spareTasks(spec, type, minOf(rate, MOST_RATE), policy))
+            val type = catalog.fitting(spec).minByOrNull { it.price } ?: return@flatMap emptyList()
+            val rate = minOf(arrivals[spec.jobClass]?.let { decayed(it, now) } ?: 0.0, MOST_RATE)
+            val arriving = FleetPlan.arrivingTasks(type, rate, policy)
+            val stranded = FleetPlan.strandedTasks(spec, type, policy)
+            if (spec.jobClass in instant) {
+                listOf(Headroom(spec, ceil(arriving).toInt(), free = true), Headroom(spec, ceil(stranded).toInt()))
+            } else {
+                listOf(Headroom(spec, ceil(arriving + stranded).toInt()))
+            }
         }
 
     /** Machines' worth of tasks that arrive while a machine boots. */
--- a/src/main/kotlin/org/elderhitch/placement/Round.kt
+++ b/src/main/kotlin/org/elderhitch/placement/Round.kt
@@ -48,10 +48,14 @@
     public val joinAttempt: Attempt?,
 )
 
+/** Room that production finds free at once, since stopping less important work for it would take too long. */
+public class KeptFree(public val spec: JobSpec, public val tasks: Int)
+
 public class RoundInput(
     public val machines: List<MachineView>,
     public val jobs: List<JobView>,
     public val quota: QuotaLedger,
+    public val keptFree: List<KeptFree> = emptyList(),
 )
 
 public data class Placed(val task: TaskId, val machine: MachineId, val joinAttempt: Attempt?)
@@ -80,12 +84,25 @@
         val order = compareByDescending<JobView> { it.spec.priority }
             .thenByDescending { input.quota.withinGuarantee(it.spec.team, it.spec.need) }
             .thenBy { it.order }
+        var kept = false
         for (job in input.jobs.sortedWith(order)) {
+            if (!kept && job.spec.priority < Priority.PRODUCTION) {
+                kept = true
+                input.keptFree.forEach(::keepFree)
+            }
             if (job.spec.kind == JobKind.GANG) placeGang(job) else placeTasks(job)
         }
         return RoundOutput(placed, stopped, unplaced)
     }
 
+    private fun keepFree(kept: KeptFree) {
+        val candidates = candidates(kept.spec)
+        repeat(kept.tasks) {
+            val machine = candidates.firstOrNull { kept.spec.need.fitsIn(it.free) } ?: return
+            machine.free -= kept.spec.need
+        }
+    }
+
     private fun allowed(machine: MachineView, spec: JobSpec): Boolean =
         (spec.types == null || machine.type in spec.types) &&
             (spec.zone == null || machine.zone == spec.zone) &&
--- a/src/main/kotlin/org/elderhitch/workers/Foreman.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Foreman.kt
@@ -22,6 +22,7 @@
 import org.elderhitch.leadership.TenureTimes
 import org.elderhitch.leadership.Term
 import org.elderhitch.placement.JobView
+import org.elderhitch.placement.KeptFree
 import org.elderhitch.placement.MachineView
 import org.elderhitch.placement.Round
 import org.elderhitch.placement.RoundInput
@@ -75,6 +76,8 @@
 
     /** The former leader has surely stopped answering workers by now. */
     public data class FormerStopped(val term: Term) : ForemanMessage
+    /** Room that less important work leaves alone. */
+    public data class KeepFree(val kept: List<KeptFree>) : ForemanMessage
     public data class Recorded(val term: Term, val finished: Map<JobId, List<Int>>) : ForemanMessage
     public data object Tick : ForemanMessage
 }
@@ -124,6 +127,7 @@
     private val gone = HashSet<MachineId>()
     private var hinted: Map<MachineId, Map<Image, Double>> = emptyMap()
     private var lastHint = Moment.NEVER
+    private var keptFree: List<KeptFree> = emptyList()
     private var tenure: Tenure = Tenure.Following(null, Term.NONE)
     private var catalog: Catalog = Catalog.EMPTY
     private var tableComplete = false
@@ -177,6 +181,7 @@
             is ForemanMessage.FormerStopped -> if (message.term == term() && !barrierClosed) {
                 barrierEnd = minOf(barrierEnd, clock.now() + workerTimes.lease.stretched() + LEASE_MARGIN)
             }
+            is ForemanMessage.KeepFree -> keptFree = message.kept
             is ForemanMessage.Recorded -> recorded(message)
             ForemanMessage.Tick -> tick()
         }
@@ -411,6 +416,7 @@
 
     private fun finished(job: JobState, index: Int) {
         if (index in job.done) return
+        log.debug("task done task={}/{}", job.id, index)
         // A gang completes as a whole: one member's word is all members'.
         if (job.spec.kind == JobKind.GANG) repeat(job.spec.tasks) { job.done.add(it) } else job.done.add(index)
         dirty = true
@@ -622,7 +628,7 @@
         }
         val machines = workers.values.filter { usable(it, now) }.mapNotNull { view(it, shunners[it.id].orEmpty()) }
         val views = jobs.values.mapNotNull { jobView(it, leading, now) }
-        return RoundInput(machines, views, quota)
+        return RoundInput(machines, views, quota, keptFree)
     }
 
     private fun usable(worker: WorkerState, now: Moment): Boolean =
--- a/src/test/kotlin/org/elderhitch/fleet/FleetPlanTest.kt
+++ b/src/test/kotlin/org/elderhitch/fleet/FleetPlanTest.kt
@@ -90,5 +90,9 @@
         val service = spec(JobKind.SERVICE, spot = false, priority = Priority.PRODUCTION)
         assertEquals(1, plan(listOf(machine(1, idle = 90.seconds), machine(2, idle = 90.seconds)), headroom = listOf(Headroom(service, 8))).release.size)
         assertEquals(1, plan(headroom = listOf(Headroom(service, 8))).hire.sumOf { it.count })
+        // Room held by tasks that would yield serves users who can wait for that, and no others.
+        val yielding = machine(1).copy(use = MachineUse(MachineId("m1"), type.resources, type.resources, Resources.NONE, true, null, false))
+        assertEquals(0, plan(listOf(yielding), headroom = listOf(Headroom(service, 8))).hire.size)
+        assertEquals(1, plan(listOf(yielding), headroom = listOf(Headroom(service, 8, free = true))).hire.sumOf { it.count })
     }
 }
--- a/src/test/kotlin/org/elderhitch/placement/RoundTest.kt
+++ b/src/test/kotlin/org/elderhitch/placement/RoundTest.kt
@@ -166,6 +166,14 @@
         assertEquals(0 to 0, second.placed.size to second.stopped.size)
     }
 
+    @Test
+    fun `room kept free for production is taken by production alone`() {
+        val service = spec(1, JobKind.SERVICE, 1, Priority.PRODUCTION, spot = false)
+        fun placed(job: JobView) = Round(RoundInput(listOf(machine("m1")), listOf(job), quota(), listOf(KeptFree(service, 3)))).decide().placed.size
+        assertEquals(5, placed(job(spec(2, tasks = 8))))
+        assertEquals(8, placed(job(spec(2, JobKind.SERVICE, 8, Priority.PRODUCTION, spot = false))))
+    }
+
     @Test
     fun `what a waiting gang could use is kept from less important work`() {
         val whole = Resources(43.0, 8.0, 230.0)
