Window of 4 s: a dead leader is replaced 2 s sooner

Cause: after a leader's crash nothing is started or replaced until its lease, as long as the window, is over.

--- a/src/main/kotlin/org/elderhitch/leadership/Tenure.kt
+++ b/src/main/kotlin/org/elderhitch/leadership/Tenure.kt
@@ -36,7 +36,7 @@
     val renewEvery: Duration,
 ) {
     public companion object {
-        private val WINDOW = 6.seconds
+        private val WINDOW = 4.seconds
         private val ROUND_BUDGET = 5.seconds
         private val MARGIN = 2.seconds
         private const val RENEWALS_PER_WINDOW = 5
