--- a/src/test/kotlin/org/elderhitch/app/ControllersTest.kt
+++ b/src/test/kotlin/org/elderhitch/app/ControllersTest.kt
@@ -123,7 +123,7 @@
         )
         assertEquals(421 to mapOf<String, Any?>("auctioneer" to leader), ask("POST", "/checkin", report, node))
         (names - leader + listOf("state", "workers")).forEach { cuts.add(leader to it) }
-        delay(4.seconds)
+        delay(3.seconds)
         // Its lease still runs, so it still leads by the state service's word; a worker sent there would wait in vain.
         assertEquals(leader, leader())
         assertEquals(503, ask("POST", "/checkin", report, node).first)
