--- /dev/null
+++ b/src/test/kotlin/org/elderhitch/jobs/JobDeskTest.kt
@@ -0,0 +1,122 @@
+package org.elderhitch.jobs
+
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runTest
+import org.elderhitch.app.Rehearsal
+import org.elderhitch.http.Address
+import org.elderhitch.json.Json
+import org.elderhitch.leadership.Tenure
+import org.elderhitch.leadership.Term
+import org.elderhitch.settings.StateLimits
+import org.elderhitch.settings.Team
+import org.elderhitch.settings.TeamName
+import org.elderhitch.standin.StateStandIn
+import org.elderhitch.store.Change
+import org.elderhitch.store.Entry
+import org.elderhitch.store.Feed
+import org.elderhitch.store.FeedListener
+import org.elderhitch.store.Keys
+import org.elderhitch.store.LeaseId
+import org.elderhitch.store.LossyNet
+import org.elderhitch.store.RateBudget
+import org.elderhitch.store.Revision
+import org.elderhitch.store.StateClient
+import org.elderhitch.time.Moment
+import org.elderhitch.time.SteadyClock
+import org.elderhitch.workers.FinishedBatch
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+@OptIn(ExperimentalCoroutinesApi::class)
+class JobDeskTest {
+    private class Node(test: TestScope, net: LossyNet, clock: SteadyClock) {
+        private val limits = StateLimits(1000.0, 1000.0, 8192, 8)
+        private val client = StateClient(net, Address("state:1"), limits, RateBudget(clock, 1000.0), RateBudget(clock, 1000.0))
+        val opened = HashMap<JobId, Revision>()
+        private val book = JobBook(test.backgroundScope) { if (it is JobEvent.Opened) opened[it.spec.id] = it.version }
+        private val feed = Feed(
+            test.backgroundScope, client, clock,
+            object : FeedListener {
+                override fun snapshot(entries: List<Entry>, revision: Revision) = book.tell(JobMessage.Snapshot(entries))
+
+                override fun changed(changes: List<Change>, revision: Revision) = book.tell(JobMessage.Changed(changes))
+            },
+        )
+        private val team = TeamName("team")
+        val desk = JobDesk(book, feed, client, mapOf(team to Team(team, 0.0, 0.0, null, null)), { true }, limits.valueBytes)
+        val recorder = Recorder(client, book, limits.txnOps)
+
+        init {
+            book.start()
+            feed.start()
+        }
+    }
+
+    /** Done, withdrawn, repeated, lost and late: what one user is told once, every node tells every user from then on. */
+    @Test
+    fun `one ending for ever, and no answer older than another`() {
+        val endings = HashMap<String, Int>()
+        for (seed in 1L..8L) {
+            runTest {
+                val random = Random(seed)
+                val clock = SteadyClock { Moment(currentTime * 1_000_000) }
+                val state = StateStandIn(clock)
+                val net = LossyNet(backgroundScope, random, state).apply { trouble = 0.0 }
+                val nodes = List(3) { Node(this, net, clock) }
+                delay(1.seconds)
+                // No counter yet: its version is that of an absent key, which never changes here.
+                val leading = Tenure.Leading(Term(1), Revision.ABSENT, LeaseId(1), Moment.FOREVER, Moment.FOREVER, null, clock.now())
+                net.trouble = 0.2
+                val told = HashMap<JobId, String>()
+                fun hear(id: JobId, before: String?, answer: Answer) {
+                    val word = when (answer) {
+                        is Answer.Accepted -> answer.standing.word
+                        is Answer.State -> answer.standing.word
+                        Answer.Unknown -> "unknown"
+                        else -> return
+                    }
+                    if (before == "done" || before == "withdrawn") assertEquals(before, word, "seed $seed: $id went back")
+                    if (before != null) assertTrue(word != "unknown", "seed $seed: $id is forgotten")
+                    if (word != "unknown") told[id] = if (told[id] in setOf("done", "withdrawn")) told.getValue(id) else word
+                }
+                val ids = List(12) { JobId("req-$it") }
+                val work = List(10) { worker ->
+                    launch {
+                        repeat(25) {
+                            val id = ids.random(random)
+                            val node = nodes.random(random)
+                            val before = told[id]
+                            when (random.nextInt(if (worker == 0) 5 else 4)) {
+                                0 -> hear(id, before, node.desk.submit(Json.bytes(Rehearsal.exampleJob(id.text, "array"))))
+                                1, 2 -> hear(id, before, node.desk.show(id))
+                                3 -> if (random.nextInt(3) == 0) hear(id, before, node.desk.withdraw(id))
+                                else -> node.opened[id]?.let { version ->
+                                    val all = FinishedTasks(2).apply { add(0); add(1) }
+                                    node.recorder.record(leading, listOf(FinishedBatch(id, version, all, listOf(0, 1))))
+                                }
+                            }
+                            delay(random.nextLong(400).milliseconds)
+                        }
+                    }
+                }
+                work.forEach { it.join() }
+                net.trouble = 0.0
+                delay(30.seconds)
+                for ((id, word) in told) {
+                    for (node in nodes) hear(id, word, node.desk.show(id))
+                    endings.merge(told.getValue(id), 1, Int::plus)
+                    assertTrue(state.value(Keys.job(id)) == null || state.value(Keys.end(id)) == null, "$id is open and ended")
+                }
+            }
+        }
+        assertTrue(endings.keys.containsAll(setOf("done", "withdrawn")), "too little was tried: $endings")
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/org/elderhitch/leadership/LeadershipTest.kt
@@ -0,0 +1,124 @@
+package org.elderhitch.leadership
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runTest
+import org.elderhitch.http.Address
+import org.elderhitch.settings.NodeName
+import org.elderhitch.settings.StateLimits
+import org.elderhitch.settings.WorkerTimes
+import org.elderhitch.standin.StateStandIn
+import org.elderhitch.store.Change
+import org.elderhitch.store.Entry
+import org.elderhitch.store.Feed
+import org.elderhitch.store.FeedListener
+import org.elderhitch.store.Keys
+import org.elderhitch.store.LossyNet
+import org.elderhitch.store.RateBudget
+import org.elderhitch.store.Revision
+import org.elderhitch.store.StateClient
+import org.elderhitch.time.Moment
+import org.elderhitch.time.SteadyClock
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+@OptIn(ExperimentalCoroutinesApi::class)
+class LeadershipTest {
+    private val workers = WorkerTimes(1.seconds, 11.seconds, 45.seconds, 5.seconds, 41.seconds)
+    private val times = TenureTimes.of(workers)
+
+    private inner class Node(val name: String, val scope: CoroutineScope, net: LossyNet, clock: SteadyClock, random: Random) {
+        private val limits = StateLimits(1000.0, 1000.0, 8192, 8)
+        private val client = StateClient(net, Address("state:1"), limits, RateBudget(clock, 1000.0), RateBudget(clock, 1000.0))
+        val leadership = Leadership(scope, NodeName(name), Incarnation(random.nextLong().toString()), client, times, clock, random)
+        private val feed = Feed(
+            scope, client, clock,
+            object : FeedListener {
+                override fun snapshot(entries: List<Entry>, revision: Revision) =
+                    leadership.tell(LeadershipMessage.LeaderSeen(entries.firstOrNull { it.key == Keys.LEADER }))
+
+                override fun changed(changes: List<Change>, revision: Revision) {
+                    val last = changes.lastOrNull { it.key == Keys.LEADER } ?: return
+                    leadership.tell(LeadershipMessage.LeaderSeen((last as? Change.Put)?.entry))
+                }
+            },
+        )
+
+        init {
+            leadership.start()
+            feed.start()
+        }
+    }
+
+    @Test
+    fun `at most one controller may command, and no term is held twice, whatever is lost or late`() {
+        for (seed in 1L..12L) {
+            runTest {
+                val random = Random(seed)
+                val clock = SteadyClock { Moment(currentTime * 1_000_000) }
+                val state = StateStandIn(clock)
+                val net = LossyNet(backgroundScope, random, state)
+                val holders = HashMap<Term, String>()
+                val nodes = HashMap<String, Node>()
+                var runs = 0
+                fun start(name: String) {
+                    val scope = CoroutineScope(backgroundScope.coroutineContext + SupervisorJob(backgroundScope.coroutineContext[Job]))
+                    nodes[name] = Node(name, scope, net, clock, random)
+                    runs++
+                }
+                val names = listOf("a", "b", "c")
+                names.forEach(::start)
+                var led = 0
+                repeat(1200) { step ->
+                    delay(100.milliseconds)
+                    if (step % 150 == 100) {
+                        val name = names.random(random)
+                        nodes.remove(name)?.scope?.cancel()
+                        start(name)
+                    }
+                    if (step % 300 == 200) state.down = true
+                    if (step % 300 == 260) state.down = false
+                    val now = clock.now()
+                    val commanding = nodes.values.filter { (it.leadership.tenure.value as? Tenure.Leading)?.mayCommand(now) == true }
+                    assertTrue(commanding.size <= 1, "seed $seed step $step: ${commanding.map { it.name }} command at once")
+                    for (node in commanding) {
+                        led++
+                        val term = (node.leadership.tenure.value as Tenure.Leading).term
+                        val holder = "${node.name}/${System.identityHashCode(node)}"
+                        assertEquals(holder, holders.getOrPut(term) { holder }, "seed $seed: term $term is held twice")
+                    }
+                }
+                assertTrue(led > 400, "seed $seed: somebody led in $led of 1200 steps only")
+            }
+        }
+    }
+
+    @Test
+    fun `a leader that sees a higher term stops at once`() = runTest {
+        val clock = SteadyClock { Moment(currentTime * 1_000_000) }
+        val net = LossyNet(backgroundScope, Random(1), StateStandIn(clock)).apply { trouble = 0.0 }
+        val node = Node("a", backgroundScope, net, clock, Random(2))
+        delay(2.seconds)
+        val leading = node.leadership.tenure.value as Tenure.Leading
+        node.leadership.tell(LeadershipMessage.TermSeen(Term(leading.term.number + 1)))
+        delay(1.milliseconds)
+        assertTrue(node.leadership.tenure.value is Tenure.Following)
+    }
+
+    @Test
+    fun `past its window a leader answers for no longer than a withdrawal allows`() {
+        val longest = times.window + times.hold + workers.lease
+        assertTrue(longest < workers.cancel)
+        val short = TenureTimes.of(workers.copy(lease = 31.seconds, cancel = 33.seconds))
+        assertEquals(0.seconds, short.hold)
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/org/elderhitch/store/LossyNet.kt
@@ -0,0 +1,49 @@
+package org.elderhitch.store
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.elderhitch.http.Address
+import org.elderhitch.http.Handler
+import org.elderhitch.http.Message
+import org.elderhitch.http.MessageParser
+import org.elderhitch.http.Response
+import org.elderhitch.http.Transport
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** A network that loses requests and answers, and carries some requests out long after their sender gave up. */
+class LossyNet(private val scope: CoroutineScope, private val random: Random, private val handler: Handler) : Transport {
+    var trouble = 0.15
+
+    override suspend fun call(to: Address, method: String, target: String, body: ByteArray?, timeout: Duration): Response? {
+        val message = Message("$method $target HTTP/1.1", emptyMap(), body ?: ByteArray(0), true)
+        val request = MessageParser.request(message)
+        val fate = random.nextDouble()
+        if (fate < trouble) {
+            when {
+                fate < trouble / 3 -> Unit
+                fate < trouble * 2 / 3 -> handler.handle(request)
+                else -> scope.launch {
+                    delay(random.nextLong(LATEST_MS).milliseconds)
+                    handler.handle(request)
+                }
+            }
+            delay(timeout)
+            return null
+        }
+        return withTimeoutOrNull(timeout) {
+            delay(random.nextLong(1, SLOW_MS).milliseconds)
+            val response = handler.handle(request)
+            delay(random.nextLong(1, SLOW_MS).milliseconds)
+            response
+        }
+    }
+
+    private companion object {
+        const val LATEST_MS = 20_000L
+        const val SLOW_MS = 8L
+    }
+}
