--- a/src/test/kotlin/org/elderhitch/app/ControllersTest.kt
+++ b/src/test/kotlin/org/elderhitch/app/ControllersTest.kt
@@ -129,6 +129,25 @@
         assertEquals(503, ask("POST", "/checkin", report, node).first)
     }
 
+    @Test
+    fun `a late report changes nothing and renews nothing`() = world {
+        delay(5.seconds)
+        val leader = assertNotNull(leader())
+        suspend fun report(session: Int, sequence: Int) = ask(
+            "POST", "/checkin",
+            mapOf(
+                "stall" to "host-1", "addr" to "127.0.0.1:1", "rig" to "bench-8", "hall" to "a", "borrowedRigs" to false,
+                "shift" to session, "tallyNo" to sequence, "gavel" to 0, "crates" to emptyList<Any>(),
+            ),
+            leader,
+        ).first
+        assertEquals(200, report(1, 5))
+        assertEquals(503, report(1, 4))
+        assertEquals(503, report(1, 5))
+        assertEquals(200, report(2, 1))
+        assertEquals(503, report(1, 9))
+    }
+
     @Test
     fun `a leader that no worker reaches hands the lead over`() = world {
         submit("req-1", "daemon", 36, 0.0, mapOf("cores" to 40.0))
