--- a/src/main/kotlin/org/elderhitch/placement/Round.kt
+++ b/src/main/kotlin/org/elderhitch/placement/Round.kt
@@ -33,8 +33,6 @@
     /** Nothing is on it: a gang could have it whole, or it could be returned. */
     public var empty: Boolean,
     public val fetchGbPerS: Double,
-    /** On their way, but not there yet. */
-    public val fetching: Set<Image>,
 )
 
 public class VictimView(public val task: TaskId, public val priority: Priority, public val need: Resources)
@@ -131,11 +129,8 @@
         return fetch(spec, machine) + opening + dear
     }
 
-    private fun fetch(spec: JobSpec, machine: MachineView): Double = when (spec.image) {
-        in machine.images -> 0.0
-        in machine.fetching -> FETCH_UNDER_WAY
-        else -> 1.0
-    } * spec.imageGb / machine.fetchGbPerS.coerceAtLeast(SLOWEST_FETCH)
+    private fun fetch(spec: JobSpec, machine: MachineView): Double =
+        if (spec.image in machine.images) 0.0 else spec.imageGb / machine.fetchGbPerS.coerceAtLeast(SLOWEST_FETCH)
 
     private fun placeTasks(job: JobView) {
         val spec = job.spec
@@ -258,7 +253,6 @@
 
     private companion object {
         const val SLOWEST_FETCH = 0.01
-        const val FETCH_UNDER_WAY = 0.7
         const val OPENING_S = 12.0
 
         // Stopping a less important task takes its time to save and a report or two; a fetch longer than this is worse.
--- a/src/main/kotlin/org/elderhitch/workers/Foreman.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Foreman.kt
@@ -409,8 +409,7 @@
         if (placement.phase != task.phase) dirty = true
         placement.phase = task.phase
         if (task.phase == TaskPhase.RUNNING && placement.runsSince == null) placement.runsSince = clock.now()
-        // An image that is still being fetched is not there yet, and on a bad day not for minutes.
-        if (task.phase != TaskPhase.FETCHING) worker.usesImage(job.spec.image, job.spec.imageGb)
+        worker.usesImage(job.spec.image, job.spec.imageGb)
         if (job.spec.kind == JobKind.GANG && (task.phase == TaskPhase.RUNNING || task.phase == TaskPhase.SAVING)) job.gangStarted = true
         if (job.ended && placement.stop == null) placement.stop = Duration.ZERO
     }
@@ -643,12 +642,10 @@
         var free = type.resources
         var leaving = Resources.NONE
         var lasting = 0.0
-        val fetching = HashSet<Image>()
         val victims = ArrayList<VictimView>()
         for (p in worker.placements.values) {
             val job = jobs[p.task.job] ?: continue
             free -= job.spec.need
-            if (p.phase == TaskPhase.FETCHING) fetching.add(job.spec.image)
             if (job.spec.kind == JobKind.SERVICE) lasting += job.spec.need.gpus + job.spec.need.cpus
             when {
                 p.stop != null -> leaving += job.spec.need
@@ -658,7 +655,7 @@
         }
         return MachineView(
             worker.id, worker.type, worker.zone, worker.spot, worker.cachedImages(type.cacheGb), free, leaving, victims, shunnedBy,
-            lasting, worker.placements.isEmpty(), type.fetchGbPerS, fetching,
+            lasting, worker.placements.isEmpty(), type.fetchGbPerS,
         )
     }
 
