--- a/src/main/kotlin/org/elderhitch/settings/PolicyScript.kt
+++ b/src/main/kotlin/org/elderhitch/settings/PolicyScript.kt
@@ -7,7 +7,9 @@
 import org.luaj.vm2.LuaValue
 import org.luaj.vm2.LoadState
 import org.luaj.vm2.compiler.LuaC
+import org.luaj.vm2.Varargs
 import org.luaj.vm2.lib.BaseLib
+import org.luaj.vm2.lib.DebugLib
 import org.luaj.vm2.lib.MathLib
 import org.luaj.vm2.lib.PackageLib
 import org.luaj.vm2.lib.StringLib
@@ -73,6 +75,18 @@
         return known.set(policy, value.todouble())
     }
 
+    /** Ends a script that would keep the controller from starting. */
+    private class Limit : DebugLib() {
+        private var instructions = 0
+
+        override fun onInstruction(pc: Int, v: Varargs?, top: Int) {
+            if (++instructions > MOST_INSTRUCTIONS) throw LuaError("the script takes too long")
+            super.onInstruction(pc, v, top)
+        }
+    }
+
+    private const val MOST_INSTRUCTIONS = 1_000_000
+
     /** No files, no system, no Java: a script can compute, and nothing else. */
     private fun globals(): Globals {
         val globals = Globals()
@@ -81,9 +95,10 @@
         globals.load(StringLib())
         globals.load(TableLib())
         globals.load(MathLib())
+        globals.load(Limit())
         LoadState.install(globals)
         LuaC.install(globals)
-        for (unsafe in listOf("dofile", "loadfile", "load", "require", "package", "print")) globals.set(unsafe, LuaValue.NIL)
+        for (unsafe in listOf("dofile", "loadfile", "load", "require", "package", "print", "debug")) globals.set(unsafe, LuaValue.NIL)
         return globals
     }
 }
