--- a/src/main/kotlin/org/elderhitch/app/Main.kt
+++ b/src/main/kotlin/org/elderhitch/app/Main.kt
@@ -1,12 +1,15 @@
 package org.elderhitch.app
 
 import com.github.ajalt.clikt.core.CoreCliktCommand
+import com.github.ajalt.clikt.core.context
 import com.github.ajalt.clikt.core.main
 import com.github.ajalt.clikt.core.subcommands
 import com.github.ajalt.clikt.parameters.options.versionOption
 
 private class Elderhitch : CoreCliktCommand(name = "elderhitch") {
     init {
+        // Without its terminal parts the library leaves it to the program to end with an error's code.
+        context { exitProcess = { code -> kotlin.system.exitProcess(code) } }
         versionOption(Elderhitch::class.java.`package`.implementationVersion ?: "development")
     }
 
