--- a/src/main/kotlin/org/elderhitch/http/HttpServer.kt
+++ b/src/main/kotlin/org/elderhitch/http/HttpServer.kt
@@ -3,7 +3,6 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
-import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
@@ -150,12 +149,6 @@
         if (withTimeoutOrNull(slow) { channel.writeAll(buffer) } == null) throw IOException("the peer doesn't read")
     }
 
-    /** Stops all connections; for tests and the rehearsal. */
-    public fun close() {
-        open.toList().forEach { it.channel.closeQuietly() }
-        scope.cancel()
-    }
-
     public companion object {
         private const val BACKLOG = 256
         private const val BUFFER = 4096
