--- a/src/main/kotlin/org/elderhitch/app/Daemon.kt
+++ b/src/main/kotlin/org/elderhitch/app/Daemon.kt
@@ -10,6 +10,7 @@
 import org.elderhitch.http.HttpServer
 import org.elderhitch.http.channelGroup
 import org.elderhitch.json.MalformedJson
+import org.elderhitch.settings.PolicyScript
 import org.elderhitch.settings.Settings
 import org.elderhitch.time.SystemSteadyClock
 import org.slf4j.LoggerFactory
@@ -24,30 +25,45 @@
 internal object Daemon {
     private const val EXIT_SETTINGS = 2
     private const val OUTGOING_SOCKETS = 48
+    private val log = LoggerFactory.getLogger("elderhitch")
 
-    fun run(config: String) {
-        val log = LoggerFactory.getLogger("elderhitch")
-        val settings = try {
-            Settings.parse(File(config).readBytes())
-        } catch (e: MalformedJson) {
-            System.err.println("elderhitch: $config: ${e.message}")
-            exitProcess(EXIT_SETTINGS)
-        } catch (e: IOException) {
-            System.err.println("elderhitch: $config can't be read: ${e.message}")
-            exitProcess(EXIT_SETTINGS)
-        }
-        val loop = ScheduledThreadPoolExecutor(1) { task -> Thread(task, "loop") }
-        loop.removeOnCancelPolicy = true
+    /** The settings, or the end of the process with a message that names what is wrong. */
+    fun settings(config: String): Settings = try {
+        Settings.parse(File(config).readBytes())
+    } catch (e: MalformedJson) {
+        System.err.println("elderhitch: $config: ${e.message}")
+        exitProcess(EXIT_SETTINGS)
+    } catch (e: IOException) {
+        System.err.println("elderhitch: $config can't be read: ${e.message}")
+        exitProcess(EXIT_SETTINGS)
+    }
+
+    fun loop(): ScheduledThreadPoolExecutor =
+        ScheduledThreadPoolExecutor(1) { task -> Thread(task, "loop") }.apply { removeOnCancelPolicy = true }
+
+    fun scope(loop: ScheduledThreadPoolExecutor): CoroutineScope {
         val failures = CoroutineExceptionHandler { _, error -> log.error("a coroutine failed", error) }
-        val scope = CoroutineScope(SupervisorJob() + loop.asCoroutineDispatcher() + failures)
+        return CoroutineScope(SupervisorJob() + loop.asCoroutineDispatcher() + failures)
+    }
+
+    fun run(config: String, policyFile: String?) {
+        val settings = settings(config)
+        val policy = if (policyFile == null) FleetPolicy() else PolicyScript.load(File(policyFile))
+        val loop = loop()
+        val scope = scope(loop)
         val group = channelGroup(loop)
         val client = HttpClient(group, SystemSteadyClock)
-        val controller = Controller(scope, settings, FleetPolicy(), client, SystemSteadyClock, SecureRandom().asKotlinRandom())
+        val controller = Controller(scope, settings, policy, client, SystemSteadyClock, SecureRandom().asKotlinRandom())
         val server = HttpServer(group, scope, SystemSteadyClock, (settings.maxSockets - OUTGOING_SOCKETS).coerceAtLeast(OUTGOING_SOCKETS))
         scope.launch {
+            try {
+                server.listen(settings.clientListen, controller.clients)
+                server.listen(settings.clusterListen, controller.peers)
+            } catch (e: IOException) {
+                System.err.println("elderhitch: can't listen on ${settings.clientListen} or ${settings.clusterListen}: ${e.message}")
+                exitProcess(EXIT_SETTINGS)
+            }
             controller.start()
-            server.listen(settings.clientListen, controller.clients)
-            server.listen(settings.clusterListen, controller.peers)
             log.info("node up node={} clients={} cluster={}", settings.node, settings.clientListen, settings.clusterListen)
         }
     }
--- a/src/main/kotlin/org/elderhitch/app/Main.kt
+++ b/src/main/kotlin/org/elderhitch/app/Main.kt
@@ -3,8 +3,6 @@
 import com.github.ajalt.clikt.core.CoreCliktCommand
 import com.github.ajalt.clikt.core.main
 import com.github.ajalt.clikt.core.subcommands
-import com.github.ajalt.clikt.parameters.options.option
-import com.github.ajalt.clikt.parameters.options.required
 import com.github.ajalt.clikt.parameters.options.versionOption
 
 private class Elderhitch : CoreCliktCommand(name = "elderhitch") {
@@ -15,15 +13,9 @@
     override fun run() = Unit
 }
 
-private class Serve : CoreCliktCommand(name = "serve") {
-    private val config by option("--config", help = "the platform's settings file, JSON").required()
-
-    override fun run() = Daemon.run(config)
-}
-
 public fun main(args: Array<String>) {
     Logging.configure(System.getenv("LOG_LEVEL"))
     // What the platform starts: "--config FILE" alone is "serve --config FILE".
     val words = if (args.firstOrNull() == "--config") arrayOf("serve", *args) else args
-    Elderhitch().subcommands(Serve()).main(words)
+    Elderhitch().subcommands(Serve(), Submit(), Show(), Withdraw(), Status(), StandIns(), Rehearse()).main(words)
 }
--- /dev/null
+++ b/src/main/kotlin/org/elderhitch/standin/CloudStandIn.kt
@@ -0,0 +1,131 @@
+package org.elderhitch.standin
+
+import org.elderhitch.http.Handler
+import org.elderhitch.http.HttpServer
+import org.elderhitch.http.Request
+import org.elderhitch.http.Response
+import org.elderhitch.json.Json
+import org.elderhitch.json.JsonObject
+import org.elderhitch.json.MalformedJson
+import org.elderhitch.time.Moment
+import org.elderhitch.time.SteadyClock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
+
+/** What a machine of the stand-in cloud is; its worker is started by [CloudStandIn.onBoot]. */
+public class StandInMachine(public val id: String, public val type: String, public val zone: String, public val spot: Boolean) {
+    public var bootedAt: Moment = Moment.FOREVER
+    public var up: Boolean = false
+    public var failed: Boolean = false
+    public var address: String = ""
+}
+
+/** The cloud in memory: one machine type, every zone with room for [perZone] machines of each kind. */
+public class CloudStandIn(
+    private val clock: SteadyClock,
+    private val zones: List<String>,
+    private val perZone: Int,
+    private val boot: Duration,
+    private val onBoot: (StandInMachine) -> Unit,
+    private val onGone: (StandInMachine) -> Unit,
+) : Handler {
+    private val machines = LinkedHashMap<String, StandInMachine>()
+    private val born = HashMap<String, Moment>()
+    private val answers = HashMap<String, List<String>>()
+    private var next = 1
+
+    public var down: Boolean = false
+
+    public fun machines(): List<StandInMachine> = machines.values.toList()
+
+    /** Boots what is due; called by whoever drives the clock. */
+    public fun tick() {
+        for (machine in machines.values.toList()) {
+            if (!machine.up && !machine.failed && clock.now() >= machine.bootedAt) {
+                machine.up = true
+                onBoot(machine)
+            }
+        }
+    }
+
+    override suspend fun handle(request: Request): Response {
+        if (down) return HttpServer.refusal(BUSY, "trouble")
+        return try {
+            when (request.method to request.path) {
+                "GET" to "/flavors" -> ok(mapOf("rigs" to listOf(flavor())))
+                "POST" to "/machines" -> hire(Json.parseObject(request.body))
+                "POST" to "/machines/release" -> {
+                    Json.parseObject(request.body).stringsOrNull("stalls").orEmpty().forEach(::remove)
+                    ok(emptyMap())
+                }
+                "GET" to "/machines" -> list(request.query["after"])
+                else -> HttpServer.refusal(NOT_FOUND, "no such path")
+            }
+        } catch (e: MalformedJson) {
+            HttpServer.refusal(BAD, e.message.orEmpty())
+        }
+    }
+
+    private fun ok(body: Map<String, Any?>) = Response(OK, Json.bytes(body))
+
+    private fun flavor(): Map<String, Any?> = linkedMapOf(
+        "name" to TYPE, "cores" to CORES, "accelerators" to ACCELERATORS, "memGb" to MEMORY, "localGb" to CACHE,
+        "pullGbPerS" to FETCH, "rate" to PRICE, "lowPrice" to SPOT_PRICE, "readyS" to boot.toDouble(DurationUnit.SECONDS),
+        "halls" to zones,
+    )
+
+    private fun hire(body: JsonObject): Response {
+        val name = body.string("hire")
+        answers[name]?.let { return ok(mapOf("stalls" to it)) }
+        val zone = body.string("hall")
+        val spot = body.boolean("borrowedRigs")
+        val used = machines.values.count { it.zone == zone && it.spot == spot }
+        val count = minOf(body.count("count").toInt(), perZone - used)
+        if (zone !in zones || body.string("rig") != TYPE) return HttpServer.refusal(BAD, "unknown type or zone")
+        if (count <= 0) return HttpServer.refusal(BUSY, "no capacity")
+        val names = List(count) {
+            val machine = StandInMachine("host-%06d".format(next++), TYPE, zone, spot)
+            machine.bootedAt = clock.now() + boot
+            machines[machine.id] = machine
+            born[machine.id] = clock.now()
+            machine.id
+        }
+        answers[name] = names
+        return ok(mapOf("stalls" to names))
+    }
+
+    public fun remove(id: String) {
+        machines.remove(id)?.let(onGone)
+    }
+
+    private fun list(after: String?): Response = ok(
+        linkedMapOf(
+            "stalls" to machines.values.filter { after == null || it.id > after }.map {
+                linkedMapOf(
+                    "id" to it.id, "addr" to it.address.ifEmpty { null }, "rig" to it.type, "hall" to it.zone,
+                    "borrowedRigs" to it.spot,
+                    "standing" to if (it.failed) "failed" else if (it.up) "running" else "booting",
+                    "ageS" to (clock.now() - (born[it.id] ?: clock.now())).toDouble(DurationUnit.SECONDS),
+                )
+            },
+            "more" to false,
+        ),
+    )
+
+    public companion object {
+        public const val TYPE: String = "bench-8"
+        public const val CORES: Double = 48.0
+        public const val ACCELERATORS: Double = 8.0
+        public const val MEMORY: Double = 384.0
+        private const val CACHE = 100.0
+        private const val FETCH = 1.0
+        private const val PRICE = 10.0
+        private const val SPOT_PRICE = 4.0
+        private const val OK = 200
+        private const val BAD = 400
+        private const val NOT_FOUND = 404
+        private const val BUSY = 503
+        public val QUICK_BOOT: Duration = 2.seconds
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/elderhitch/standin/StandInPlatform.kt
@@ -0,0 +1,78 @@
+package org.elderhitch.standin
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.elderhitch.http.Address
+import org.elderhitch.http.Transport
+import org.elderhitch.jobs.JobId
+import org.elderhitch.json.JsonObject
+import org.elderhitch.settings.WorkerTimes
+import org.elderhitch.store.Keys
+import org.elderhitch.time.SteadyClock
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** State service, cloud and workers together. Tasks run for what their job's estimate says. */
+public class StandInPlatform(
+    private val scope: CoroutineScope,
+    private val clock: SteadyClock,
+    private val transport: Transport,
+    private val nodes: Map<String, Address>,
+    private val times: WorkerTimes,
+    private val random: Random,
+    zones: List<String>,
+    perZone: Int,
+    boot: Duration,
+    private val watch: TaskWatch,
+) {
+    public val state: StateStandIn = StateStandIn(clock)
+    public val cloud: CloudStandIn = CloudStandIn(clock, zones, perZone, boot, ::boot, ::gone)
+    private val workers = HashMap<String, Pair<WorkerStandIn, Job>>()
+    private val scripts = HashMap<String, TaskScript>()
+
+    public fun start() {
+        scope.launch {
+            while (true) {
+                delay(TICK)
+                cloud.tick()
+            }
+        }
+    }
+
+    private fun boot(machine: StandInMachine) {
+        val worker = WorkerStandIn(machine, nodes, transport, times, clock, random, ::script, watch)
+        workers[machine.id] = worker to scope.launch { worker.run() }
+    }
+
+    private fun gone(machine: StandInMachine) {
+        val (worker, job) = workers.remove(machine.id) ?: return
+        worker.end()
+        job.cancel()
+    }
+
+    /** The machine stops, with all that is on it, and its worker falls silent. */
+    public fun kill(machine: String) {
+        cloud.machines().firstOrNull { it.id == machine }?.let {
+            it.failed = true
+            it.up = false
+            gone(it)
+        }
+    }
+
+    private fun script(job: String): TaskScript? {
+        scripts[job]?.let { return it }
+        val id = JobId.parse(job) ?: return null
+        val record: JsonObject = state.value(Keys.job(id)) ?: return null
+        val script = TaskScript(record.string("lotKind"), record.amount("haulS").seconds, record.long("crates").toInt())
+        scripts[job] = script
+        return script
+    }
+
+    private companion object {
+        val TICK = 100.milliseconds
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/org/elderhitch/app/ControllersTest.kt
@@ -0,0 +1,160 @@
+package org.elderhitch.app
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.runTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+
+class ControllersTest {
+    private fun world(seed: Long = 1, body: suspend World.(TestScope) -> Unit) = runTest(timeout = 2.minutes) {
+        World(this, seed).body(this)
+    }
+
+    @Test
+    fun `arrays, gangs and services run, end, and are told alike by every node`() = world {
+        submit("req-1", "array", 6, 3.0)
+        submit("req-2", "gang", 3, 4.0, mapOf("samePlace" to true))
+        submit("req-3", "daemon", 2, 0.0, mapOf("spread" to true))
+        until("array and gang done", 60.seconds) { standing("req-1") == "done" && standing("req-2") == "done" }
+        until("service runs", 30.seconds) { ask("GET", "/work/req-3").second["running"] == 2L }
+        assertEquals(200, ask("POST", "/work/req-3/withdraw").first)
+        for (node in names) {
+            assertEquals("withdrawn", ask("GET", "/work/req-3", node = node).second["standing"])
+            assertEquals("done", ask("GET", "/work/req-1", node = node).second["standing"])
+            assertEquals(404, ask("GET", "/work/req-77", node = node).first)
+        }
+        until("replicas gone", 41.seconds) { onMachine.isEmpty() }
+        // A withdrawal that comes too late is told what was decided first, and so is a repeated submission.
+        assertEquals("done", ask("POST", "/work/req-1/withdraw").second["standing"])
+        val (status, again) = ask("POST", "/work", mapOf("id" to "req-1", "lotKind" to "nonsense"))
+        assertEquals(200 to "done", status to again["standing"])
+        until("idle machines returned", 180.seconds) { platform.cloud.machines().isEmpty() }
+        assertRulesKept()
+    }
+
+    @Test
+    fun `users' mistakes are refused for good, and what can't be told yet is not`() = world {
+        submit("req-1", "array", 1, 1.0)
+        val job = Rehearsal.exampleJob("req-2", "array")
+        assertEquals(400, ask("POST", "/work", job + ("crates" to 0)).first)
+        assertEquals(400, ask("POST", "/work", job + ("id" to "nonsense")).first)
+        assertEquals(422, ask("POST", "/work", job + ("desk" to "strangers")).first)
+        assertEquals(422, ask("POST", "/work", job + ("cores" to 49.0)).first)
+        assertEquals(422, ask("POST", "/work", job + ("lotKind" to "gang") + ("crates" to 41)).first)
+        assertEquals(201, ask("POST", "/work", job + ("crates" to 41)).first)
+        assertEquals(405, ask("DELETE", "/work/req-1").first)
+        assertEquals(404, ask("GET", "/nowhere").first)
+        platform.state.down = true
+        assertEquals(503, ask("POST", "/work", job + ("id" to "req-3"), node = "n0").first)
+    }
+
+    @Test
+    fun `a crashed leader's tasks run on, and none starts twice`() = world {
+        submit("req-1", "daemon", 4, 0.0)
+        submit("req-2", "array", 10, 25.0)
+        until("all run", 60.seconds) { onMachine.size == 14 }
+        val leader = assertNotNull(leader())
+        crash(leader)
+        until("another leads", 15.seconds) { leader().let { it != null && it != leader } }
+        until("array done", 90.seconds) { standing("req-2") == "done" }
+        assertEquals(4, onMachine.size)
+        assertTrue(startsOf.values.all { it == 1 }, "a task was started again: $startsOf")
+        assertRulesKept()
+    }
+
+    @Test
+    fun `all controllers crash and come back within the workers' lease`() = world {
+        submit("req-1", "daemon", 4, 0.0)
+        until("all run", 60.seconds) { onMachine.size == 4 }
+        names.forEach(::crash)
+        delay(6.seconds)
+        names.forEach(::startNode)
+        delay(30.seconds)
+        assertEquals(4, onMachine.size)
+        assertTrue(startsOf.values.all { it == 1 }, "a task was started again: $startsOf")
+        assertRulesKept()
+    }
+
+    @Test
+    fun `an outage of the state service longer than the lease stops nothing`() = world {
+        submit("req-1", "daemon", 4, 0.0)
+        submit("req-2", "array", 4, 10.0)
+        until("all run", 60.seconds) { onMachine.size == 8 }
+        platform.state.down = true
+        delay(16.seconds)
+        assertEquals(503, ask("GET", "/work/req-2", node = "n1").first)
+        platform.state.down = false
+        until("array done", 30.seconds) { standing("req-2") == "done" }
+        assertTrue(startsOf.values.all { it == 1 }, "a task was started again: $startsOf")
+        assertRulesKept()
+    }
+
+    @Test
+    fun `a leader cut off from everything is replaced, and returns as a follower`() = world {
+        submit("req-1", "daemon", 4, 0.0)
+        until("all run", 60.seconds) { onMachine.size == 4 }
+        val leader = assertNotNull(leader())
+        val others = names - leader + listOf("state", "cloud", "workers", "user")
+        others.forEach { cuts.add(leader to it) }
+        until("another leads", 15.seconds) { leader().let { it != null && it != leader } }
+        assertEquals(200, ask("POST", "/work/req-1/withdraw", node = leader()).first)
+        until("replicas gone", 41.seconds) { onMachine.isEmpty() }
+        cuts.clear()
+        delay(10.seconds)
+        assertNotEquals(leader, leader())
+        assertEquals("withdrawn", ask("GET", "/work/req-1", node = leader).second["standing"])
+        assertRulesKept()
+    }
+
+    @Test
+    fun `a leader that no worker reaches hands the lead over`() = world {
+        submit("req-1", "daemon", 36, 0.0, mapOf("cores" to 40.0))
+        until("machines up", 60.seconds) { onMachine.size >= 6 }
+        delay(10.seconds)
+        val leader = assertNotNull(leader())
+        cuts.add(leader to "workers")
+        until("another leads", 20.seconds) { leader().let { it != null && it != leader } }
+        assertRulesKept()
+    }
+
+    @Test
+    fun `a node that the state service alone refuses has a peer answer`() = world {
+        submit("req-1", "array", 1, 1.0)
+        val node = names.first { it != leader() }
+        cuts.add(node to "state")
+        delay(5.seconds)
+        val (status, answer) = ask("POST", "/work", Rehearsal.exampleJob("req-2", "array"), node = node)
+        assertEquals(201, status, "$answer")
+        until("done", 60.seconds) { ask("GET", "/work/req-2", node = node).second["standing"] == "done" }
+    }
+
+    @Test
+    fun `lost machines are replaced under any order of crashes`() {
+        for (seed in 1L..4L) {
+            world(seed) {
+                submit("req-1", "daemon", 6, 0.0, mapOf("spread" to true))
+                submit("req-2", "array", 20, 8.0)
+                submit("req-3", "gang", 4, 20.0)
+                until("services run", 60.seconds) { (0..5).all { "req-1/$it" in onMachine } }
+                val random = kotlin.random.Random(seed)
+                repeat(4) {
+                    onMachine.values.toSet().randomOrNull(random)?.let(platform::kill)
+                    delay(random.nextInt(1, 8).seconds)
+                    val node = names.random(random)
+                    crash(node)
+                    delay(random.nextInt(1, 9).seconds)
+                    startNode(node)
+                }
+                until("all done", 300.seconds) { standing("req-2") == "done" && standing("req-3") == "done" }
+                until("services whole", 120.seconds) { (0..5).all { "req-1/$it" in onMachine } }
+                assertRulesKept()
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/org/elderhitch/app/World.kt
@@ -0,0 +1,170 @@
+package org.elderhitch.app
+
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.withTimeoutOrNull
+import org.elderhitch.fleet.FleetPolicy
+import org.elderhitch.http.Address
+import org.elderhitch.http.Handler
+import org.elderhitch.http.MessageParser
+import org.elderhitch.http.Request
+import org.elderhitch.http.Response
+import org.elderhitch.http.Transport
+import org.elderhitch.json.Json
+import org.elderhitch.settings.Settings
+import org.elderhitch.standin.StandInPlatform
+import org.elderhitch.standin.TaskWatch
+import org.elderhitch.time.Moment
+import org.elderhitch.time.SteadyClock
+import kotlin.random.Random
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Three controllers against the stand-ins, over a network that can be cut, in virtual time. */
+@OptIn(ExperimentalCoroutinesApi::class)
+class World(private val test: TestScope, seed: Long = 1) : TaskWatch {
+    private val random = Random(seed)
+    val clock = SteadyClock { Moment(test.currentTime * NANOS_PER_MS) }
+    private val handlers = HashMap<String, Handler>()
+
+    /** Pairs of hosts that don't hear each other. */
+    val cuts = HashSet<Pair<String, String>>()
+    private val running = HashMap<String, CoroutineScope>()
+    private val controllers = HashMap<String, Controller>()
+    val names = listOf("n0", "n1", "n2")
+    val platform: StandInPlatform
+    val onMachine = HashMap<String, String>()
+    val startsOf = HashMap<String, Int>()
+    val broken = ArrayList<String>()
+
+    init {
+        val nodes = names.associateWith { Address("$it:80") }
+        platform = StandInPlatform(
+            test.backgroundScope, clock, net("workers"), nodes, settings("n0").workers, random, listOf("a", "b"), 6, 5.seconds, this,
+        )
+        handlers["state:1"] = platform.state
+        handlers["cloud:1"] = platform.cloud
+        platform.start()
+        names.forEach(::startNode)
+    }
+
+    override fun started(task: String, machine: String) {
+        onMachine[task]?.let { broken.add("$task started on $machine while on $it") }
+        onMachine[task] = machine
+        startsOf.merge(task, 1, Int::plus)
+    }
+
+    override fun ended(task: String, machine: String) {
+        if (onMachine[task] == machine) onMachine.remove(task)
+    }
+
+    fun startNode(name: String) {
+        val scope = CoroutineScope(test.backgroundScope.coroutineContext + SupervisorJob(test.backgroundScope.coroutineContext[Job]))
+        running[name] = scope
+        val controller = Controller(scope, settings(name), FleetPolicy(), net(name), clock, Random(random.nextLong()))
+        controllers[name] = controller
+        handlers["$name:80"] = controller.clients
+        handlers["$name:81"] = controller.peers
+        controller.start()
+    }
+
+    fun crash(name: String) {
+        running.remove(name)?.cancel(CancellationException("crash"))
+        controllers.remove(name)
+        handlers.remove("$name:80")
+        handlers.remove("$name:81")
+    }
+
+    fun leader(): String? = names.firstOrNull { name ->
+        name in controllers && platform.state.value("v/a/leader")?.string("node") == name
+    }
+
+    private fun net(from: String) = object : Transport {
+        override suspend fun call(to: Address, method: String, target: String, body: ByteArray?, timeout: Duration): Response? =
+            withTimeoutOrNull(timeout) {
+                delay(LATENCY)
+                val host = to.text.substringBefore(':')
+                if (from to host in cuts || host to from in cuts) delay(Duration.INFINITE)
+                val handler = handlers[to.text] ?: return@withTimeoutOrNull null
+                val message = org.elderhitch.http.Message("$method $target HTTP/1.1", emptyMap(), body ?: ByteArray(0), true)
+                val caller = running[host]
+                // A node that crashes takes its unfinished answers with it.
+                if (caller == null) handler.handle(MessageParser.request(message)) else answerOf(caller, handler, MessageParser.request(message))
+            }
+    }
+
+    private suspend fun answerOf(scope: CoroutineScope, handler: Handler, request: Request): Response? {
+        var answer: Response? = null
+        val job = scope.launch { answer = handler.handle(request) }
+        job.join()
+        return answer
+    }
+
+    suspend fun ask(method: String, path: String, body: Map<String, Any?>? = null, node: String? = null): Pair<Int, Map<String, Any?>> {
+        repeat(ASK_TRIES) { n ->
+            val name = node ?: names[n % names.size]
+            val bytes = body?.let { Json.bytes(it) } ?: if (method == "POST") ByteArray(0) else null
+            val response = net("user").call(Address("$name:80"), method, path, bytes, 5.seconds)
+            if (response != null && (response.status < BUSY || node != null)) {
+                @Suppress("UNCHECKED_CAST")
+                return response.status to (Json.parse(response.body) as Map<String, Any?>)
+            }
+            delay(1.seconds)
+        }
+        return BUSY to emptyMap()
+    }
+
+    suspend fun submit(id: String, kind: String, tasks: Int, runs: Double, extra: Map<String, Any?> = emptyMap()) {
+        val body = Rehearsal.exampleJob(id, kind) + mapOf("crates" to tasks, "haulS" to runs) + extra
+        val (status, answer) = ask("POST", "/work", body)
+        assertTrue(status in 200..201, "$id: $status $answer")
+    }
+
+    suspend fun standing(id: String): String = ask("GET", "/work/$id").second["standing"].toString()
+
+    suspend fun until(what: String, limit: Duration, check: suspend () -> Boolean) {
+        val end = clock.now() + limit
+        while (!check()) {
+            if (clock.now() > end) throw AssertionError("$what: not within $limit")
+            delay(200.milliseconds)
+        }
+    }
+
+    fun assertRulesKept() = assertEquals(emptyList(), broken)
+
+    private fun settings(name: String): Settings = Settings.parse(
+        Json.bytes(
+            linkedMapOf(
+                "node_name" to name, "zone" to "a", "client_listen" to "$name:80", "cluster_listen" to "$name:81",
+                "known" to listOf("n0", "n1", "n2").filter { it != name }
+                    .map { mapOf("node_name" to it, "zone" to "a", "address" to "$it:81") },
+                "external" to mapOf("cloud" to "cloud:1", "state" to "state:1"),
+                "settings" to linkedMapOf(
+                    "zones" to listOf("a", "b"),
+                    "teams" to listOf(mapOf("name" to "team", "gpus_max" to 40.0)),
+                    "workers" to mapOf("report_s" to 1.0, "lease_s" to 11.0, "gang_wait_s" to 30.0, "gang_peer_s" to 5.0, "cancel_s" to 41.0),
+                    "state" to mapOf("rps" to 300.0, "write_rps" to 60.0, "value_kb" to 8.0, "txn_ops" to 8),
+                    "cloud" to mapOf("rps" to 10.0, "list_lag_s" to 1.0),
+                ),
+            ),
+        ),
+    )
+
+    private companion object {
+        const val NANOS_PER_MS = 1_000_000L
+        const val BUSY = 503
+        const val ASK_TRIES = 40
+        val LATENCY = 3.milliseconds
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/org/elderhitch/jobs/JobCodecTest.kt
@@ -0,0 +1,76 @@
+package org.elderhitch.jobs
+
+import org.elderhitch.json.Json
+import org.elderhitch.json.MalformedJson
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
+import kotlin.test.assertTrue
+
+class JobCodecTest {
+    private fun body(random: Random): LinkedHashMap<String, Any?> = linkedMapOf(
+        "id" to "req-${random.nextInt(1_000_000).toString().padStart(6, '0')}",
+        "lotClass" to "class-${random.nextInt(5)}",
+        "desk" to "desk-${random.nextInt(3)}",
+        "lotKind" to listOf("array", "gang", "daemon").random(random),
+        "urgency" to listOf("production", "urgent", "normal", "idle").random(random),
+        "crates" to random.nextInt(1, JobCodec.MOST_TASKS + 1),
+        "cores" to random.nextInt(100) / 4.0,
+        "accelerators" to random.nextInt(9).toDouble(),
+        "memGb" to random.nextInt(1000) / 8.0,
+        "catchImage" to "img-${random.nextInt(9)}",
+        "pullGb" to random.nextInt(80) / 4.0,
+        "rigs" to if (random.nextBoolean()) null else listOf("g8", "g4").take(random.nextInt(1, 3)),
+        "hall" to if (random.nextBoolean()) null else "a",
+        "samePlace" to random.nextBoolean(),
+        "spread" to random.nextBoolean(),
+        "borrowedRigs" to random.nextBoolean(),
+        "haulS" to random.nextInt(4000) / 4.0,
+        "tallyS" to random.nextInt(100) / 4.0,
+        "stowS" to random.nextInt(40) / 4.0,
+        "closingS" to if (random.nextBoolean()) null else random.nextInt(4000) / 4.0,
+    )
+
+    @Test
+    fun `a job survives the wire and the store, with fields that nobody knows`() {
+        val random = Random(4)
+        repeat(300) {
+            val body = body(random)
+            body["surprise"] = mapOf("deep" to listOf(1, null, "x"))
+            val spec = JobCodec.decode(Json.parseObject(Json.bytes(body)))
+            val again = JobCodec.decode(Json.parseObject(Json.bytes(JobCodec.encode(spec))))
+            assertEquals(spec, again)
+            // Null and absent are the same.
+            body.values.removeAll { it == null }
+            assertEquals(spec, JobCodec.decode(Json.parseObject(Json.bytes(body))))
+        }
+    }
+
+    @Test
+    fun `each missing, mistyped or impossible field is named`() {
+        val good = body(Random(5))
+        for (field in listOf("id", "lotClass", "desk", "lotKind", "urgency", "crates", "cores", "accelerators", "memGb", "catchImage", "haulS")) {
+            for (wrong in listOf(null, listOf(1), mapOf("a" to 1), true)) {
+                val error = assertFailsWith<MalformedJson>(field) { JobCodec.decode(Json.parseObject(Json.bytes(good + (field to wrong)))) }
+                assertTrue(field in error.message.orEmpty(), "$field: ${error.message}")
+            }
+        }
+        val impossible = listOf(
+            "crates" to 0, "crates" to 100_001, "crates" to 1.5, "cores" to -1.0, "id" to "job-1", "id" to "req-", "id" to "req-a b",
+            "lotKind" to "swarm", "urgency" to "asap", "rigs" to "g8", "rigs" to listOf(1), "memGb" to "4", "hall" to 7, "spread" to "yes",
+        )
+        for ((field, wrong) in impossible) {
+            val body = Json.parseObject(Json.bytes(good + (field to wrong)))
+            assertFailsWith<MalformedJson>("$field=$wrong") { JobCodec.decode(body) }
+        }
+    }
+
+    @Test
+    fun `what is no JSON object is refused in one line`() {
+        for (text in listOf("", "nonsense", "[1]", "{\"a\":", "{} {}", "\"x\"", "{\"a\":1,}", "[".repeat(100))) {
+            val error = assertFailsWith<MalformedJson>(text) { Json.parseObject(text.toByteArray()) }
+            assertTrue('\n' !in error.message.orEmpty())
+        }
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/org/elderhitch/placement/RoundTest.kt
@@ -0,0 +1,144 @@
+package org.elderhitch.placement
+
+import org.elderhitch.jobs.Image
+import org.elderhitch.jobs.JobId
+import org.elderhitch.jobs.JobKind
+import org.elderhitch.jobs.JobSpec
+import org.elderhitch.jobs.MachineType
+import org.elderhitch.jobs.Priority
+import org.elderhitch.jobs.Resources
+import org.elderhitch.jobs.TaskId
+import org.elderhitch.quota.QuotaLedger
+import org.elderhitch.settings.Team
+import org.elderhitch.settings.TeamName
+import org.elderhitch.settings.Zone
+import org.elderhitch.store.Revision
+import org.elderhitch.workers.MachineId
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+class RoundTest {
+    private val full = Resources(48.0, 8.0, 384.0)
+    private val team = TeamName("team")
+
+    private fun spec(
+        id: Int,
+        kind: JobKind = JobKind.ARRAY,
+        tasks: Int = 1,
+        priority: Priority = Priority.NORMAL,
+        need: Resources = Resources(4.0, 1.0, 30.0),
+        spread: Boolean = false,
+        oneZone: Boolean = false,
+        spot: Boolean = true,
+        zone: Zone? = null,
+        types: Set<MachineType>? = null,
+        image: String = "img",
+    ) = JobSpec(
+        JobId("req-$id"), "class", team, kind, priority, tasks, need, types, zone, oneZone, spread, spot, Image(image), 1.0,
+        10.seconds, Duration.ZERO, Duration.ZERO, null,
+    )
+
+    private fun machine(
+        id: String,
+        zone: String = "a",
+        spot: Boolean = false,
+        free: Resources = full,
+        type: String = "g8",
+        images: Set<Image> = emptySet(),
+        victims: List<VictimView> = emptyList(),
+    ) = MachineView(
+        MachineId(id), MachineType(type), Zone(zone), spot, images, free, Resources.NONE, victims.toMutableList(), emptySet(),
+    )
+
+    private fun quota(mostGpus: Double? = null, reserved: Resources = Resources.NONE) =
+        QuotaLedger(mapOf(team to Team(team, 0.0, 0.0, null, mostGpus)), reserved)
+
+    private fun job(spec: JobSpec, order: Long = 1, zones: Map<Zone, Int> = emptyMap()) =
+        JobView(spec, Revision(order), (0 until spec.tasks).toList(), zones, null)
+
+    private fun decide(machines: List<MachineView>, jobs: List<JobView>, quota: QuotaLedger = quota()) =
+        Round(RoundInput(machines, jobs, quota)).decide()
+
+    @Test
+    fun `no round breaks a limit, a place or a machine, whatever it is given`() {
+        val random = Random(6)
+        repeat(400) { round ->
+            val zones = listOf("a", "b", "c")
+            val machines = List(random.nextInt(1, 12)) {
+                machine("m$it", zones.random(random), random.nextBoolean(), full * 1 - Resources(4.0, 1.0, 30.0) * random.nextInt(8), listOf("g8", "g4").random(random))
+            }
+            val before = machines.associate { it.id to it.free }
+            val jobs = List(random.nextInt(1, 12)) { n ->
+                val kind = JobKind.entries.random(random)
+                job(
+                    spec(
+                        n, kind, random.nextInt(1, 9), Priority.entries.random(random),
+                        Resources(random.nextInt(1, 20).toDouble(), random.nextInt(0, 4).toDouble(), random.nextInt(1, 100).toDouble()),
+                        spread = kind != JobKind.GANG && random.nextBoolean(), oneZone = kind == JobKind.GANG && random.nextBoolean(),
+                        spot = random.nextBoolean(), zone = if (random.nextInt(4) == 0) Zone(zones.random(random)) else null,
+                        types = if (random.nextInt(3) == 0) setOf(MachineType("g8")) else null,
+                    ),
+                    order = n.toLong() + 1,
+                )
+            }
+            val limit = random.nextInt(4, 40).toDouble()
+            val output = decide(machines, jobs, quota(limit))
+            val specs = jobs.associate { it.spec.id to it.spec }
+            val byMachine = machines.associateBy { it.id }
+            assertEquals(output.placed.size, output.placed.map { it.task }.toSet().size, "round $round: a task placed twice")
+            assertTrue(output.placed.sumOf { specs.getValue(it.task.job).need.gpus } <= limit + 1e-6, "round $round: over the limit")
+            for ((id, placed) in output.placed.groupBy { it.machine }) {
+                val taken = placed.fold(Resources.NONE) { sum, p -> sum + specs.getValue(p.task.job).need }
+                assertTrue(taken.fitsIn(before.getValue(id)), "round $round: $id overfull")
+            }
+            for ((id, placed) in output.placed.groupBy { it.task.job }) {
+                val spec = specs.getValue(id)
+                val where = placed.map { byMachine.getValue(it.machine) }
+                assertTrue(where.all { spec.spotAllowed || !it.spot }, "round $round: spot")
+                assertTrue(where.all { spec.zone == null || it.zone == spec.zone }, "round $round: zone")
+                assertTrue(where.all { spec.types == null || it.type in spec.types }, "round $round: type")
+                if (spec.oneZone) assertEquals(1, where.map { it.zone }.toSet().size, "round $round: one zone")
+                assertTrue(where.groupBy { it.zone }.values.all { it.size <= spec.mostInOneZone }, "round $round: spread")
+                if (spec.kind == JobKind.GANG) assertEquals(spec.tasks, placed.size, "round $round: half a gang")
+            }
+        }
+    }
+
+    @Test
+    fun `tasks that may still be elsewhere count for spread and zone`() {
+        val machines = listOf(machine("a1", "a"), machine("b1", "b"))
+        val spread = JobView(spec(1, JobKind.SERVICE, 3, spread = true, spot = false), Revision(1), listOf(2), mapOf(Zone("a") to 2), null)
+        assertEquals(listOf(MachineId("b1")), decide(machines, listOf(spread)).placed.map { it.machine })
+        val bound = JobView(spec(2, JobKind.GANG, 2, oneZone = true), Revision(1), listOf(1), mapOf(Zone("b") to 1), null)
+        assertEquals(listOf(MachineId("b1")), decide(machines, listOf(bound)).placed.map { it.machine })
+    }
+
+    @Test
+    fun `the fullest machine comes first, and one with the image before it`() {
+        val emptier = machine("m1")
+        val fuller = machine("m2", free = full - Resources(4.0, 3.0, 30.0))
+        assertEquals(MachineId("m2"), decide(listOf(emptier, fuller), listOf(job(spec(1)))).placed.single().machine)
+        val warm = machine("m3", images = setOf(Image("img")))
+        assertEquals(MachineId("m3"), decide(listOf(emptier, fuller, warm), listOf(job(spec(2)))).placed.single().machine)
+    }
+
+    @Test
+    fun `more important work stops less important work, and never its equals`() {
+        val taken = Resources(0.0, 0.0, 0.0)
+        fun victims(priority: Priority) = List(8) { VictimView(TaskId(JobId("req-9"), it), priority, Resources(4.0, 1.0, 30.0)) }
+        val urgent = job(spec(1, JobKind.SERVICE, 1, Priority.PRODUCTION, spot = false))
+        assertEquals(1, decide(listOf(machine("m1", free = taken, victims = victims(Priority.LOW))), listOf(urgent)).stopped.size)
+        assertEquals(0, decide(listOf(machine("m1", free = taken, victims = victims(Priority.PRODUCTION))), listOf(urgent)).stopped.size)
+        assertEquals(0, decide(listOf(machine("m1", free = taken, victims = victims(Priority.LOW))), listOf(job(spec(2, priority = Priority.LOW)))).stopped.size)
+    }
+
+    @Test
+    fun `quota that silent workers may use is not given away`() {
+        val output = decide(listOf(machine("m1")), listOf(job(spec(1, tasks = 8))), quota(10.0, reserved = Resources(48.0, 8.0, 384.0)))
+        assertEquals(2, output.placed.size)
+    }
+}
