--- a/src/main/kotlin/org/elderhitch/workers/Foreman.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Foreman.kt
@@ -309,14 +309,14 @@
         }
     }
 
-    private fun settle(worker: WorkerState, report: Report) {
+    private fun settle(worker: WorkerState, report: Report, inReply: Boolean = false) {
         if (!worker.settled) {
             worker.settled = true
             takeover.heard(worker.id)
             log.info("worker settled machine={} by=report tasks={}", worker.id, report.tasks.size)
             table.dirty = true
         }
-        reconciler.apply(worker, report)
+        reconciler.apply(worker, report, inReply)
         checkTakeover()
     }
 
@@ -362,7 +362,7 @@
             val report = outcome.report
             if (report.machine == worker.id && report.term == message.term && worker.order.let { it == null || report.order > it }) {
                 heard(worker, report, now)
-                settle(worker, report)
+                settle(worker, report, inReply = true)
             }
             return
         }
--- a/src/main/kotlin/org/elderhitch/workers/Reconciler.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Reconciler.kt
@@ -12,7 +12,11 @@
     private val log = LoggerFactory.getLogger("elderhitch.workers")
     private val faults = Faults()
 
-    fun apply(worker: WorkerState, report: Report) {
+    /**
+     * [inReply]: the worker says so in reply to a command to its own address, while an answer to its last report may
+     * still be on its way with starts in it. Only a report sent after that answer proves that they were not executed.
+     */
+    fun apply(worker: WorkerState, report: Report, inReply: Boolean) {
         if (worker.tasks != report.tasks) {
             worker.tasks = report.tasks
             worker.changed()
@@ -25,6 +29,7 @@
         }
         for (p in worker.placements.values.toList()) {
             if (p.task in seen || p.certainty == Certainty.ASSIGNED || p.onItsWay) continue
+            if (inReply && p.certainty == Certainty.SENT) continue
             // Reports come one at a time: this one was sent after the answer with the start was taken or given up.
             table.jobs[p.task.job]?.let { table.remove(it, p) } ?: forgotten(worker, p)
         }
--- a/src/test/kotlin/org/elderhitch/app/ControllersTest.kt
+++ b/src/test/kotlin/org/elderhitch/app/ControllersTest.kt
@@ -8,6 +8,7 @@
 import kotlin.test.assertNotEquals
 import kotlin.test.assertNotNull
 import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 
@@ -209,6 +210,26 @@
         }
     }
 
+    /**
+     * The answer to a report and a command to the worker's own address travel beside each other: what a worker says in
+     * reply to the command proves nothing about starts that are still in the answer.
+     */
+    @Test
+    fun `a command that overtakes the answer to a report starts nothing twice`() {
+        for (seed in 1L..6L) {
+            world(seed, reportS = 5.0) {
+                val random = kotlin.random.Random(seed)
+                slowAnswers = { random.nextInt(0, 3000).milliseconds }
+                repeat(60) { n ->
+                    submit("req-$n", "array", random.nextInt(1, 9), random.nextInt(2, 6).toDouble(), mapOf("cores" to listOf(4.0, 12.0, 24.0).random(random)))
+                    delay(random.nextInt(50, 800).milliseconds)
+                }
+                until("all done", 300.seconds) { (0..59).all { standing("req-$it") == "done" } }
+                assertRulesKept()
+            }
+        }
+    }
+
     @Test
     fun `lost machines are replaced under any order of crashes`() {
         for (seed in 1L..4L) {
--- a/src/test/kotlin/org/elderhitch/app/World.kt
+++ b/src/test/kotlin/org/elderhitch/app/World.kt
@@ -44,6 +44,9 @@
 
     /** How late the next command to a worker's own address is executed; null: at once. */
     var lateCommands: () -> Duration? = { null }
+
+    /** How long the answer to a report is on its way. */
+    var slowAnswers: () -> Duration = { Duration.ZERO }
     private val running = HashMap<String, CoroutineScope>()
     private val controllers = HashMap<String, Controller>()
     val names = listOf("n0", "n1", "n2")
@@ -110,7 +113,10 @@
                 val message = org.elderhitch.http.Message("$method $target HTTP/1.1", emptyMap(), body ?: ByteArray(0), true)
                 val caller = running[host]
                 // A node that crashes takes its unfinished answers with it.
-                if (caller == null) handler.handle(MessageParser.request(message)) else answerOf(caller, handler, MessageParser.request(message))
+                val request = MessageParser.request(message)
+                val answer = if (caller == null) handler.handle(request) else answerOf(caller, handler, request)
+                if (from == "workers") delay(slowAnswers())
+                answer
             }
     }
 
