Cut zones, faulty machines, and a fleet plan that walks its papers once

Silence: where most of a zone falls silent its machines are not returned (they run on, and come back); during a takeover they are, unless the former leader sits in that zone or the leases end soon, since nothing else settles them as early. A leader that hears nobody resigns after a pause that many evenly spread reports can't leave by chance, counted in ticks. Faults: errors of a job that runs well elsewhere are the machine's, whatever their number; nothing new goes where one just failed. Plan: equal tasks walk a sorted list once instead of searching all machines each.

--- a/src/main/kotlin/org/elderhitch/app/Controller.kt
+++ b/src/main/kotlin/org/elderhitch/app/Controller.kt
@@ -33,7 +33,9 @@
 import org.elderhitch.leadership.Tenure
 import org.elderhitch.leadership.TenureTimes
 import org.elderhitch.leadership.Term
+import org.elderhitch.settings.NodeName
 import org.elderhitch.settings.Settings
+import org.elderhitch.settings.Zone
 import org.elderhitch.store.Change
 import org.elderhitch.store.Condition
 import org.elderhitch.store.Entry
@@ -83,7 +85,7 @@
     private val book: JobBook = JobBook(scope, ::jobEvent)
     private val leadership: Leadership = Leadership(scope, settings.node, incarnation, client, times, clock, random)
     private val cloud = CloudClient(transport, settings.cloud, RateBudget(clock, settings.cloudLimits.requestsPerS * CLOUD_SHARE))
-    private val foreman: Foreman = Foreman(scope, times, settings.workers, settings.teams, clock, foremanPorts())
+    private val foreman: Foreman = Foreman(scope, times, settings.workers, settings.teams, nodeZones(), clock, foremanPorts())
     private val renter: Renter = Renter(scope, cloud, client, policy, instantClasses(), settings.cloudLimits.listLag, clock, fleetPorts())
     private val line = WorkerLine(transport)
     private val recorder = Recorder(client, book, settings.stateLimits.txnOps)
@@ -117,6 +119,9 @@
         .filter { it.kind == "wait" && it.within != null && it.within < settings.workers.report * 2 + STOPPING }
         .map { it.jobClass }.toSet()
 
+    private fun nodeZones(): Map<NodeName, Zone> =
+        settings.peers.mapNotNull { peer -> peer.zone?.let { peer.name to it } }.toMap() + (settings.node to settings.zone)
+
     private fun share(whole: Double, part: Double): Double =
         if (settings.peers.isEmpty()) whole * USABLE else whole * USABLE * part
 
--- a/src/main/kotlin/org/elderhitch/app/Rehearsal.kt
+++ b/src/main/kotlin/org/elderhitch/app/Rehearsal.kt
@@ -52,7 +52,7 @@
         // The settings name the other controllers' cluster addresses only: workers of the stand-ins know one node.
         val nodes = mapOf(settings.node.text to settings.clientListen)
         val platform = StandInPlatform(
-            scope, SystemSteadyClock, client, nodes, settings.workers, Random.Default,
+            scope, SystemSteadyClock, { client }, nodes, settings.workers, Random.Default,
             settings.zones.map { it.name }, MACHINES_PER_ZONE, CloudStandIn.QUICK_BOOT, Silent,
         )
         platform.start()
--- a/src/main/kotlin/org/elderhitch/fleet/FleetPlan.kt
+++ b/src/main/kotlin/org/elderhitch/fleet/FleetPlan.kt
@@ -54,6 +54,9 @@
 
     private val papers = ArrayList<Paper>()
     private val bought = LinkedHashMap<Market, Int>()
+
+    /** Machines by zone, so that new ones go where fewer are. */
+    private val inZone = HashMap<Zone, Int>()
     private val spareUsed = HashSet<MachineId>()
 
     public fun decide(): PlanOutput {
@@ -61,15 +64,16 @@
             val type = input.catalog.types[planned.machine.type] ?: continue
             val use = planned.use
             if (use == null) {
-                if (!late(planned, type)) papers.add(paper(planned.machine, type.resources))
+                if (!late(planned, type)) add(Paper(planned.machine, market(planned.machine), type.resources))
             } else if (use.usable) {
                 // Room that tasks leave sooner than a new machine would be up; production doesn't wait for that.
-                papers.add(Paper(planned.machine, market(planned.machine), type.resources - use.busy + use.ending, later = true))
+                add(Paper(planned.machine, market(planned.machine), type.resources - use.busy + use.ending, later = true))
+            } else {
+                inZone.merge(planned.machine.zone, 1, Int::plus)
             }
         }
         for (need in input.unplaced.sortedByDescending { it.spec.priority }) {
-            val zones = HashMap(need.zones)
-            repeat(need.count.coerceAtMost(MOST_TASKS)) { place(need.spec, zones) }
+            place(need.spec, need.count.coerceAtMost(MOST_TASKS), HashMap(need.zones))
         }
         keepHeadroom()
         return PlanOutput(bought.map { (market, count) -> Hiring(market, count) }, releases())
@@ -77,8 +81,6 @@
 
     private fun market(machine: Machine) = Market(machine.type, machine.zone, machine.spot)
 
-    private fun paper(machine: Machine, free: Resources) = Paper(machine, market(machine), free)
-
     /** Some machines take several times as long to boot, and some never do: they count for nothing until they are up. */
     private fun late(planned: PlannedMachine, type: TypeInfo): Boolean =
         input.now - planned.hiredAt > type.boot * LATE_BOOT
@@ -89,16 +91,24 @@
             (!market.spot || spec.spotAllowed) &&
             (if (spec.oneZone) zones.isEmpty() || market.zone in zones else (zones[market.zone] ?: 0) < spec.mostInOneZone)
 
-    private fun place(spec: JobSpec, zones: MutableMap<Zone, Int>): Boolean {
-        val paper = papers
+    /**
+     * Tasks of one shape, one after the other. Room only shrinks and zones only fill, so that what a task passed over is
+     * of no use to the next one either; and the paper used last has the least room left, so it stays the first choice.
+     */
+    private fun place(spec: JobSpec, count: Int, zones: MutableMap<Zone, Int>) {
+        val fitting = papers
             .filter { (!it.later || spec.priority < Priority.PRODUCTION) && allowed(spec, it.market, zones) && spec.need.fitsIn(it.free) }
-            .minWithOrNull(compareByDescending<Paper> { it.later }.thenBy { it.free.gpus })
-            ?: buy(spec, zones)
-            ?: return false
-        paper.free -= spec.need
-        if (paper.later) paper.machine?.let { spareUsed.add(it.id) }
-        zones.merge(paper.market.zone, 1, Int::plus)
-        return true
+            .sortedWith(compareByDescending<Paper> { it.later }.thenBy { it.free.gpus })
+        var next = 0
+        var bought: Paper? = null
+        repeat(count) {
+            while (next < fitting.size && !(spec.need.fitsIn(fitting[next].free) && allowed(spec, fitting[next].market, zones))) next++
+            val kept = bought?.takeIf { spec.need.fitsIn(it.free) && allowed(spec, it.market, zones) }
+            val paper = fitting.getOrNull(next) ?: kept ?: buy(spec, zones)?.also { bought = it } ?: return
+            paper.free -= spec.need
+            if (paper.later) paper.machine?.let { spareUsed.add(it.id) }
+            zones.merge(paper.market.zone, 1, Int::plus)
+        }
     }
 
     private fun buy(spec: JobSpec, zones: Map<Zone, Int>): Paper? {
@@ -106,15 +116,17 @@
             type.zones.flatMap { zone -> listOf(Market(type.name, zone, true), Market(type.name, zone, false)) }
         }.filter { (policy.useSpot || !it.spot) && it !in input.closedMarkets && allowed(spec, it, zones) }
         val market = markets.minWithOrNull(
-            compareBy<Market> { cost(spec, it) }.thenBy { zones[it.zone] ?: 0 }.thenBy { m -> inZone(m) }.thenBy { it.zone.name },
+            compareBy<Market> { cost(spec, it) }.thenBy { zones[it.zone] ?: 0 }.thenBy { inZone[it.zone] ?: 0 }.thenBy { it.zone.name },
         ) ?: return null
         val type = input.catalog.types[market.type] ?: return null
         bought.merge(market, 1, Int::plus)
-        return Paper(null, market, type.resources).also { papers.add(it) }
+        return Paper(null, market, type.resources).also(::add)
     }
 
-    private fun inZone(market: Market): Int = papers.count { it.market.zone == market.zone } +
-        input.machines.count { it.use?.usable == false && it.machine.zone == market.zone }
+    private fun add(paper: Paper) {
+        papers.add(paper)
+        inZone.merge(paper.market.zone, 1, Int::plus)
+    }
 
     /** The price of the part of the machine that one task takes. */
     private fun cost(spec: JobSpec, market: Market): Double {
@@ -137,18 +149,20 @@
             if (use.usable) spare.add(Spare(planned.machine, type.resources - use.busy, use.yielding))
         }
         for (want in input.headroom.sortedByDescending { it.free }) {
-            val spec = want.spec.copy(spread = false, zone = null)
-            repeat(want.tasks) {
-                val fitting = spare
-                    .filter { allowed(spec, market(it.machine), emptyMap()) && spec.need.fitsIn(if (want.free) it.free else it.free + it.yielding) }
-                    .minWithOrNull(compareBy({ it.free.gpus + it.yielding.gpus }, { it.machine.id.text }))
-                if (fitting != null) {
-                    fitting.free -= spec.need
-                    spareUsed.add(fitting.machine.id)
-                } else if (spec.priority == Priority.PRODUCTION) {
-                    place(spec, HashMap())
+            val spec = want.spec.copy(spread = false, zone = null, tasks = want.tasks)
+            val room = { it: Spare -> if (want.free) it.free else it.free + it.yielding }
+            val fitting = spare.filter { allowed(spec, market(it.machine), emptyMap()) && spec.need.fitsIn(room(it)) }
+                .sortedWith(compareBy({ it.free.gpus + it.yielding.gpus }, { it.machine.id.text }))
+            var missing = want.tasks
+            for (machine in fitting) {
+                while (missing > 0 && spec.need.fitsIn(room(machine))) {
+                    machine.free -= spec.need
+                    spareUsed.add(machine.machine.id)
+                    missing--
                 }
+                if (missing == 0) break
             }
+            if (spec.priority == Priority.PRODUCTION) place(spec, missing, HashMap())
         }
     }
 
--- a/src/main/kotlin/org/elderhitch/settings/Settings.kt
+++ b/src/main/kotlin/org/elderhitch/settings/Settings.kt
@@ -23,7 +23,8 @@
     override fun toString(): String = text
 }
 
-public data class Peer(val name: NodeName, val address: Address)
+/** [zone]: null if the settings don't say. */
+public data class Peer(val name: NodeName, val address: Address, val zone: Zone?)
 
 /** What a team is promised and what it may use at most; null: no limit. */
 public data class Team(
@@ -83,7 +84,7 @@
                 zone = Zone(top.stringOrNull("zone").orEmpty()),
                 clientListen = address(top, "client_listen"),
                 clusterListen = address(top, "cluster_listen"),
-                peers = top.objects("known").map { Peer(NodeName(it.string("node_name")), address(it, "address")) },
+                peers = top.objects("known").map { Peer(NodeName(it.string("node_name")), address(it, "address"), it.stringOrNull("zone")?.let(::Zone)) },
                 cloud = address(external, "cloud"),
                 state = address(external, "state"),
                 zones = settings.stringsOrNull("zones").orEmpty().map(::Zone),
--- a/src/main/kotlin/org/elderhitch/standin/StandInPlatform.kt
+++ b/src/main/kotlin/org/elderhitch/standin/StandInPlatform.kt
@@ -21,7 +21,7 @@
 public class StandInPlatform(
     private val scope: CoroutineScope,
     private val clock: SteadyClock,
-    private val transport: Transport,
+    private val transportOf: (StandInMachine) -> Transport,
     private val nodes: Map<String, Address>,
     private val times: WorkerTimes,
     private val random: Random,
@@ -48,7 +48,7 @@
 
     private fun boot(machine: StandInMachine) {
         machine.address = addressOf(machine)
-        val worker = WorkerStandIn(machine, nodes, transport, times, clock, random, ::script, watch)
+        val worker = WorkerStandIn(machine, nodes, transportOf(machine), times, clock, random, ::script, watch)
         workers[machine.id] = worker to scope.launch { worker.run() }
     }
 
--- a/src/main/kotlin/org/elderhitch/workers/Foreman.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Foreman.kt
@@ -26,6 +26,7 @@
 import org.elderhitch.settings.Team
 import org.elderhitch.settings.TeamName
 import org.elderhitch.settings.WorkerTimes
+import org.elderhitch.settings.Zone
 import org.elderhitch.store.Revision
 import org.elderhitch.time.Moment
 import org.elderhitch.time.SteadyClock
@@ -119,15 +120,17 @@
     private val times: TenureTimes,
     private val workerTimes: WorkerTimes,
     teams: Map<TeamName, Team>,
+    nodeZones: Map<NodeName, Zone>,
     private val clock: SteadyClock,
     private val ports: ForemanPorts,
 ) : Actor<ForemanMessage>(scope) {
     private val log = LoggerFactory.getLogger("elderhitch.workers")
     private val table = TaskTable(clock)
     private val takeover = Takeover(times, workerTimes.lease, clock)
-    private val reconciler = Reconciler(table, clock)
+    private val faults = Faults(table)
+    private val reconciler = Reconciler(table, faults, clock)
     private val commands = CommandList(table)
-    private val silence = Silence(table, takeover, workerTimes, ports)
+    private val silence = Silence(table, takeover, workerTimes, TICK, nodeZones, ports)
     private val feed = RoundFeed(table, teams)
     private val demand = DemandReport(table)
     private val known = HashMap<MachineId, Machine>()
@@ -301,6 +304,7 @@
             table.dirty = true
         }
         worker.notice = report.notice
+        silence.heardSomeone()
         silence.back(worker, now)
         if (report.machine !in known) ports.fleet(FleetMessage.Stray(report))
         if (worker.id in known && worker.id !in cleared && now - worker.clearAsked > CLEAR_AGAIN) {
@@ -390,9 +394,10 @@
         val leading = leading() ?: return
         val now = clock.now()
         checkTakeover()
-        silence.watch(leading, now)
+        silence.watch(leading, now, known)
         if (now - lastCounts > COUNTS_EVERY) {
             lastCounts = now
+            faults.reconsider(now)
             ports.running(table.jobs.values.filter { it.placements.isNotEmpty() }.associate { it.id to it.running })
         }
         if (!tableComplete || !leading.mayCommand(now)) return
@@ -474,7 +479,7 @@
     }
 
     private fun usable(worker: WorkerState, now: Moment): Boolean =
-        worker.settled && worker.notice == null && !worker.sick && !worker.unreachable && worker.id in cleared &&
+        worker.settled && worker.notice == null && !worker.sick && !worker.unreachable && now > worker.doubtedUntil && worker.id in cleared &&
             now - worker.lastReport <= silence.suspectAfter && worker.releaseAsked == Moment.NEVER
 
     private fun assign(task: TaskId, machine: MachineId, join: Attempt?, now: Moment) {
--- a/src/main/kotlin/org/elderhitch/workers/Reconciler.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Reconciler.kt
@@ -8,9 +8,8 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** Brings the table in line with what a worker reports, whose list is the truth once it has seen our term. */
-internal class Reconciler(private val table: TaskTable, private val clock: SteadyClock) {
+internal class Reconciler(private val table: TaskTable, private val faults: Faults, private val clock: SteadyClock) {
     private val log = LoggerFactory.getLogger("elderhitch.workers")
-    private val faults = Faults()
 
     /**
      * [inReply]: the worker says so in reply to a command to its own address, while an answer to its last report may
--- a/src/main/kotlin/org/elderhitch/workers/Takeover.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Takeover.kt
@@ -59,6 +59,8 @@
         return true
     }
 
+    fun endsWithin(span: Duration, now: Moment): Boolean = end - now < span
+
     /** What the silent machines could be running, whoever it belongs to. */
     fun reserved(known: Map<MachineId, Machine>, catalog: Catalog): Resources {
         if (settled) return Resources.NONE
--- a/src/main/kotlin/org/elderhitch/workers/WorkerState.kt
+++ b/src/main/kotlin/org/elderhitch/workers/WorkerState.kt
@@ -71,7 +71,12 @@
     var tasks: List<TaskReport> = emptyList()
     val placements: HashMap<TaskId, Placement> = HashMap()
     var idleSince: Moment = since
-    val erredTasks: HashSet<TaskId> = HashSet()
+
+    /** Errors here by job. */
+    val erredJobs: HashMap<JobId, Int> = HashMap()
+
+    /** Something failed here; until then nothing new comes. */
+    var doubtedUntil: Moment = Moment.NEVER
     var sick: Boolean = false
     var releaseAsked: Moment = Moment.NEVER
     var clearAsked: Moment = Moment.NEVER
--- a/src/test/kotlin/org/elderhitch/app/ControllersTest.kt
+++ b/src/test/kotlin/org/elderhitch/app/ControllersTest.kt
@@ -230,6 +230,24 @@
         }
     }
 
+    /**
+     * The machines of a zone that is cut off from everything run on. To return them all, as silent machines are one by
+     * one, would end what they run and leave the deployment without them long after the cut.
+     */
+    @Test
+    fun `machines of a zone that is cut off are not returned, and are used again after the cut`() = world {
+        submit("req-1", "daemon", 10, 0.0, mapOf("cores" to 40.0))
+        until("all run", 90.seconds) { onMachine.size == 10 }
+        val cut = platform.cloud.machines().filter { it.zone == "b" }.map { it.id }.toSet()
+        assertTrue(cut.size >= 4, "$cut")
+        silentWorkers = cut
+        delay(40.seconds)
+        assertTrue(platform.cloud.machines().map { it.id }.containsAll(cut), "returned: ${cut - platform.cloud.machines().map { it.id }.toSet()}")
+        silentWorkers = emptySet()
+        until("all run again", 60.seconds) { onMachine.size == 10 }
+        assertRulesKept()
+    }
+
     @Test
     fun `lost machines are replaced under any order of crashes`() {
         for (seed in 1L..4L) {
--- a/src/test/kotlin/org/elderhitch/app/World.kt
+++ b/src/test/kotlin/org/elderhitch/app/World.kt
@@ -45,6 +45,9 @@
     /** How late the next command to a worker's own address is executed; null: at once. */
     var lateCommands: () -> Duration? = { null }
 
+    /** Machines that nobody hears and that hear nobody. */
+    var silentWorkers: Set<String?> = emptySet()
+
     /** How long the answer to a report is on its way. */
     var slowAnswers: () -> Duration = { Duration.ZERO }
     private val running = HashMap<String, CoroutineScope>()
@@ -58,7 +61,7 @@
     init {
         val nodes = names.associateWith { Address("$it:80") }
         platform = StandInPlatform(
-            test.backgroundScope, clock, net("workers"), nodes, settings("n0").workers, random, listOf("a", "b"), 6, 5.seconds, this,
+            test.backgroundScope, clock, { net("workers", it.id) }, nodes, settings("n0").workers, random, listOf("a", "b"), 6, 5.seconds, this,
             addressOf = { "${it.id}:9000" },
         )
         handlers["state:1"] = platform.state
@@ -98,7 +101,7 @@
         name in controllers && platform.state.value("v/a/leader")?.string("node") == name
     }
 
-    private fun net(from: String) = object : Transport {
+    private fun net(from: String, machine: String? = null) = object : Transport {
         override suspend fun deliver(to: Address, method: String, target: String, body: ByteArray?, connect: Duration, timeout: Duration): Delivery {
             val message = org.elderhitch.http.Message("$method $target HTTP/1.1", emptyMap(), body ?: ByteArray(0), true)
             return toWorker(from, to, MessageParser.request(message), connect, timeout)
@@ -108,7 +111,7 @@
             withTimeoutOrNull(timeout) {
                 delay(LATENCY)
                 val host = to.text.substringBefore(':')
-                if (from to host in cuts || host to from in cuts) delay(Duration.INFINITE)
+                if (from to host in cuts || host to from in cuts || machine in silentWorkers) delay(Duration.INFINITE)
                 val handler = handlers[to.text] ?: return@withTimeoutOrNull null
                 val message = org.elderhitch.http.Message("$method $target HTTP/1.1", emptyMap(), body ?: ByteArray(0), true)
                 val caller = running[host]
@@ -124,7 +127,7 @@
     private suspend fun toWorker(from: String, to: Address, request: Request, connect: Duration, timeout: Duration): Delivery {
         delay(LATENCY)
         val worker = platform.workerAt(to)
-        if (worker == null || from to "workers" in cuts) {
+        if (worker == null || to.host in silentWorkers || from to "workers" in cuts) {
             delay(connect)
             return Delivery.NotSent
         }
