Silent workers are asked at their own addresses

Now machines that a takeover has not heard are asked where the cloud lists them, and told the term; overdue workers are asked too. Whoever takes no connection twice is returned at once, unless most of its zone is silent or no report came from the zone for longer than chance allows: that is a cut.

--- a/src/main/kotlin/org/elderhitch/app/Controller.kt
+++ b/src/main/kotlin/org/elderhitch/app/Controller.kt
@@ -211,11 +211,13 @@
             }
         }
 
+        override fun ask(tenure: Tenure.Leading, at: Address, machine: MachineId) {
+            scope.launch { foreman.tell(ForemanMessage.Asked(tenure.term, machine, line.ask(at, tenure.term) { entitled(tenure) })) }
+        }
+
         override fun command(tenure: Tenure.Leading, to: Address, machine: MachineId, session: Long, commands: List<Command>) {
             scope.launch {
-                val outcome = line.send(to, tenure.term, session, commands) {
-                    (leadership.tenure.value as? Tenure.Leading)?.let { it.term == tenure.term && it.mayCommand(clock.now()) } ?: false
-                }
+                val outcome = line.send(to, tenure.term, session, commands) { entitled(tenure) }
                 val starts = commands.filterIsInstance<Command.Start>().map { it.task to it.attempt }.toSet()
                 foreman.tell(ForemanMessage.Commanded(tenure.term, machine, session, starts, outcome))
             }
@@ -227,6 +229,9 @@
         }
     }
 
+    private fun entitled(claimed: Tenure.Leading): Boolean =
+        (leadership.tenure.value as? Tenure.Leading)?.let { it.term == claimed.term && it.mayCommand(clock.now()) } ?: false
+
     private fun fleetPorts(): FleetPorts = object : FleetPorts {
         override fun foreman(message: ForemanMessage) = foreman.tell(message)
 
--- a/src/main/kotlin/org/elderhitch/app/Daemon.kt
+++ b/src/main/kotlin/org/elderhitch/app/Daemon.kt
@@ -24,7 +24,7 @@
 /** The long-running process. One thread runs everything; a second one only waits for the sockets. */
 internal object Daemon {
     private const val EXIT_SETTINGS = 2
-    private const val OUTGOING_SOCKETS = 48
+    private const val OUTGOING_SOCKETS = 80
     private val log = LoggerFactory.getLogger("elderhitch")
 
     /** The settings, or the end of the process with a message that names what is wrong. */
--- a/src/main/kotlin/org/elderhitch/fleet/Renter.kt
+++ b/src/main/kotlin/org/elderhitch/fleet/Renter.kt
@@ -540,6 +540,10 @@
         listedAt = clock.now()
         val machines = message.machines ?: return
         val listed = machines.associateBy { it.machine.id }
+        if (demand?.settled != true) {
+            // A takeover asks machines that it hasn't heard yet; only the cloud can say where they are.
+            ports.foreman(ForemanMessage.MachinesListed(machines.mapNotNull { m -> m.address?.let { m.machine.id to it } }.toMap()))
+        }
         unknownSince.keys.retainAll(listed.keys)
         for (entry in listed.values) {
             val known = held[entry.machine.id]
--- a/src/main/kotlin/org/elderhitch/workers/Foreman.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Foreman.kt
@@ -72,6 +72,12 @@
     public data class KeepFree(val kept: List<KeptFree>) : ForemanMessage
     public data class Recorded(val term: Term, val finished: Map<JobId, List<Int>>) : ForemanMessage
 
+    /** Where the cloud says that machines are. */
+    public data class MachinesListed(val where: Map<MachineId, Address>) : ForemanMessage
+
+    /** What a worker said that was asked at its own address. */
+    public data class Asked(val term: Term, val machine: MachineId, val outcome: CommandOutcome) : ForemanMessage
+
     /** What became of commands sent to a worker's own address. */
     public data class Commanded(
         val term: Term,
@@ -100,6 +106,9 @@
     /** Sends commands to a worker's own address; what becomes of them comes back as [ForemanMessage.Commanded]. */
     public fun command(tenure: Tenure.Leading, to: Address, machine: MachineId, session: Long, commands: List<Command>)
 
+    /** Asks a worker at its own address, and tells it the term; its word comes back as [ForemanMessage.Asked]. */
+    public fun ask(tenure: Tenure.Leading, at: Address, machine: MachineId)
+
     public fun running(counts: Map<JobId, Int>)
 }
 
@@ -130,7 +139,8 @@
     private val faults = Faults(table)
     private val reconciler = Reconciler(table, faults, clock)
     private val commands = CommandList(table)
-    private val silence = Silence(table, takeover, workerTimes, TICK, nodeZones, ports)
+    private val inquiry = Inquiry(table, takeover, workerTimes, ports)
+    private val silence = Silence(table, takeover, workerTimes, TICK, nodeZones, inquiry, ports)
     private val feed = RoundFeed(table, teams)
     private val demand = DemandReport(table)
     private val known = HashMap<MachineId, Machine>()
@@ -189,6 +199,8 @@
             is ForemanMessage.KeepFree -> keptFree = message.kept
             is ForemanMessage.Recorded -> recorded(message)
             is ForemanMessage.Commanded -> commanded(message)
+            is ForemanMessage.MachinesListed -> inquiry.listed(message.where)
+            is ForemanMessage.Asked -> asked(message)
             ForemanMessage.Tick -> tick()
         }
     }
@@ -206,6 +218,7 @@
         if (leading == null || leading.term == before) return
         table.newTerm()
         takeover.begin(leading)
+        inquiry.newTerm()
         known.clear()
         cleared.clear()
         gone.clear()
@@ -304,7 +317,8 @@
             table.dirty = true
         }
         worker.notice = report.notice
-        silence.heardSomeone()
+        silence.heard(worker)
+        inquiry.heard(worker.id)
         silence.back(worker, now)
         if (report.machine !in known) ports.fleet(FleetMessage.Stray(report))
         if (worker.id in known && worker.id !in cleared && now - worker.clearAsked > CLEAR_AGAIN) {
@@ -375,6 +389,27 @@
         for (p in placements) if (p.certainty == Certainty.SENT && !p.answered) table.jobs[p.task.job]?.let { table.remove(it, p) }
     }
 
+    private fun asked(message: ForemanMessage.Asked) {
+        val leading = leading() ?: return
+        if (message.term != leading.term || message.machine in gone) return
+        val said = (message.outcome as? CommandOutcome.Executed)?.report
+        inquiry.took(message.machine, connection = message.outcome != CommandOutcome.Unreachable)
+        // A machine's address may be another's by now.
+        if (said == null || said.machine != message.machine) return
+        if (said.term > leading.term) {
+            ports.leadership(LeadershipMessage.TermSeen(said.term))
+            return
+        }
+        val now = clock.now()
+        val worker = table.workers.getOrPut(said.machine) { worker(said, now) }
+        if (worker.order.let { it != null && said.order <= it }) return
+        worker.calledAt = now
+        heard(worker, said, now)
+        // Until it knew our term, an earlier leader may have renewed its lease; our question doesn't.
+        if (!worker.settled) worker.lastAnswer = now
+        if (said.term == leading.term && tableComplete) settle(worker, said, inReply = true)
+    }
+
     private fun machineGone(id: MachineId, proof: String) {
         known.remove(id)
         cleared.remove(id)
@@ -401,6 +436,7 @@
             ports.running(table.jobs.values.filter { it.placements.isNotEmpty() }.associate { it.id to it.running })
         }
         if (!tableComplete || !leading.mayCommand(now)) return
+        inquiry.ask(leading, now) { silence.isCutOff(it.zone) || it.releaseAsked != Moment.NEVER }
         record(leading)
         if (now - lastHint > HINT_EVERY) {
             lastHint = now
--- /dev/null
+++ b/src/main/kotlin/org/elderhitch/workers/Inquiry.kt
@@ -0,0 +1,65 @@
+package org.elderhitch.workers
+
+import org.elderhitch.http.Address
+import org.elderhitch.leadership.Tenure
+import org.elderhitch.settings.WorkerTimes
+import org.elderhitch.time.Moment
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Asks workers at their own addresses instead of waiting for their word: those that a takeover has not heard yet, which
+ * also tells them the new term, and those whose report is overdue. One that takes no connection is most likely dead.
+ */
+internal class Inquiry(
+    private val table: TaskTable,
+    private val takeover: Takeover,
+    workerTimes: WorkerTimes,
+    private val ports: ForemanPorts,
+) {
+    private val overdueAfter: Duration = workerTimes.report * REPORT_SPREAD + LATE
+    private val asked = HashMap<MachineId, Moment>()
+    private val addresses = HashMap<MachineId, Address>()
+    private val unreachable = HashSet<MachineId>()
+
+    fun newTerm() {
+        asked.clear()
+        addresses.clear()
+        unreachable.clear()
+    }
+
+    /** Where the cloud says that machines are. */
+    fun listed(where: Map<MachineId, Address>) {
+        addresses.putAll(where)
+    }
+
+    fun isUnreachable(machine: MachineId): Boolean = machine in unreachable
+
+    fun heard(machine: MachineId) {
+        unreachable.remove(machine)
+    }
+
+    fun took(machine: MachineId, connection: Boolean) {
+        if (connection) unreachable.remove(machine) else unreachable.add(machine)
+    }
+
+    fun ask(leading: Tenure.Leading, now: Moment, pointless: (WorkerState) -> Boolean) {
+        for (id in takeover.unheard) ask(leading, id, table.workers[id]?.address ?: addresses[id], now)
+        for (worker in table.workers.values) {
+            if (now - maxOf(worker.lastReport, leading.claimedAt) > overdueAfter && !pointless(worker)) ask(leading, worker.id, worker.address, now)
+        }
+    }
+
+    private fun ask(leading: Tenure.Leading, machine: MachineId, at: Address?, now: Moment) {
+        if (at == null || asked[machine].let { it != null && now - it < AGAIN }) return
+        asked[machine] = now
+        ports.ask(leading, at, machine)
+    }
+
+    private companion object {
+        const val REPORT_SPREAD = 1.25
+        val LATE = 500.milliseconds
+        val AGAIN = 3.seconds
+    }
+}
--- a/src/main/kotlin/org/elderhitch/workers/Silence.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Silence.kt
@@ -25,12 +25,14 @@
     private val workerTimes: WorkerTimes,
     private val tick: Duration,
     private val zoneOf: Map<NodeName, Zone>,
+    private val inquiry: Inquiry,
     private val ports: ForemanPorts,
 ) {
     private class Hearing {
         var heard = 0
         var silent = 0
-        val cutOff: Boolean get() = silent >= CUT_LEAST && silent > heard
+        var unheard = 0
+        val majoritySilent: Boolean get() = silent + unheard >= CUT_LEAST && silent + unheard > heard
     }
 
     private val log = LoggerFactory.getLogger("elderhitch.workers")
@@ -38,23 +40,23 @@
     /** A worker silent for so long gets nothing new. */
     val suspectAfter: Duration = workerTimes.report * 2.5 + 500.milliseconds
     private val releaseAfter = workerTimes.report * REPORT_SPREAD + RESPONSE_TIMEOUT + NEXT_NODE * 2.0
-    private var quietTicks = 0
+    private val quietTicks = HashMap<Zone, Int>()
     private var cutZones: Set<Zone> = emptySet()
 
-    /** Some worker reported. */
-    fun heardSomeone() {
-        quietTicks = 0
+    /** Where silence can't be told from a cut: most of the zone, or all that should have reported lately, is silent. */
+    private var doubtfulZones: Set<Zone> = emptySet()
+
+    fun isCutOff(zone: Zone): Boolean = zone in cutZones
+
+    fun heard(worker: WorkerState) {
+        quietTicks[worker.zone] = 0
     }
 
     fun watch(leading: Tenure.Leading, now: Moment, known: Map<MachineId, Machine>) {
-        quietTicks++
-        var heard = 0
-        var silent = 0
         val zones = HashMap<Zone, Hearing>()
         for (worker in table.workers.values) {
             val hearing = zones.getOrPut(worker.zone) { Hearing() }
             if (now - maxOf(worker.lastReport, leading.claimedAt) > suspectAfter) hearing.silent++ else hearing.heard++
-            if (now - worker.lastReport > suspectAfter) silent++ else heard++
             if (worker.settled && worker.placements.isNotEmpty() &&
                 now > worker.lastAnswer + workerTimes.lease.stretched() + Takeover.LEASE_MARGIN
             ) {
@@ -62,44 +64,65 @@
                 table.loseAll(worker)
             }
         }
+        val heard = zones.values.sumOf { it.heard }
+        val silent = zones.values.sumOf { it.silent }
+        val quiet = quiet(zones)
         val mayResign = now - leading.claimedAt > RESIGN_AFTER && heard + silent >= RESIGN_LEAST
-        if (mayResign && (silent > heard * 2 || tick * quietTicks > longestQuiet(heard + silent))) {
-            ports.leadership(LeadershipMessage.Resign("$silent of ${silent + heard} workers silent"))
+        if (mayResign && (silent > heard * 2 || quiet.size == zones.size)) {
+            ports.leadership(LeadershipMessage.Resign("$silent of ${silent + heard} workers silent, quiet zones ${quiet.size}"))
             return
         }
         // Machines of an earlier term that never said a word in this one.
         val unheard = takeover.unheard.filter { it !in table.workers }
-        if (now - leading.claimedAt > suspectAfter) unheard.forEach { id -> known[id]?.let { zones.getOrPut(it.zone) { Hearing() }.silent++ } }
-        val cut = zones.filterValues { it.cutOff }.keys
-        if (cut != cutZones) log.info("zones cut off zones={} silent={}", cut, zones.values.sumOf { it.silent })
+        unheard.forEach { id -> known[id]?.let { zones.getOrPut(it.zone) { Hearing() }.unheard++ } }
+        doubtfulZones = zones.filterValues { it.majoritySilent }.keys + quiet
+        val cut = if (now - leading.claimedAt > suspectAfter) doubtfulZones else emptySet()
+        if (cut != cutZones) log.info("zones cut off zones={} silent={}", cut, silent + unheard.size)
         cutZones = cut
         if (leading.mayCommand(now)) release(leading, now, unheard, known)
     }
 
     /**
-     * Reports of many workers come evenly spread: the more there are, the shorter a pause can be by chance. Counted in
-     * ticks, so that a process that was held up itself doesn't take that for silence.
+     * Zones that no report came from for longer than chance allows. Reports of many workers come evenly spread: the more
+     * there are, the shorter a pause can be. Counted in ticks, so that a process that was held up itself doesn't take
+     * that for silence.
      */
-    private fun longestQuiet(workers: Int): Duration = QUIET_MARGIN + workerTimes.report * minOf(REPORT_SPREAD, QUIET_REPORTS / workers)
+    private fun quiet(zones: Map<Zone, Hearing>): Set<Zone> {
+        val quiet = HashSet<Zone>()
+        for ((zone, hearing) in zones) {
+            val ticks = quietTicks.merge(zone, 1, Int::plus) ?: 1
+            val workers = hearing.heard + hearing.silent
+            val longest = QUIET_MARGIN + workerTimes.report * minOf(REPORT_SPREAD, QUIET_REPORTS / workers)
+            if (workers >= CUT_LEAST && tick * ticks > longest) quiet.add(zone)
+        }
+        return quiet
+    }
 
     private fun release(leading: Tenure.Leading, now: Moment, unheard: List<MachineId>, known: Map<MachineId, Machine>) {
-        for (worker in table.workers.values) {
+        val silent = table.workers.values.filter { worker ->
             val since = maxOf(worker.lastReport, leading.claimedAt)
-            if (now - since > patience(worker.zone, worker.settled, leading, now) && now - worker.releaseAsked > RELEASE_AGAIN) {
-                worker.releaseAsked = now
-                log.info("worker silent machine={} for_ms={}", worker.id, (now - worker.lastReport).inWholeMilliseconds)
-                ports.fleet(FleetMessage.Release(listOf(worker.id), "silent"))
-            }
+            now - since > patience(worker.id, worker.zone, worker.settled, leading, now) && now - worker.releaseAsked > RELEASE_AGAIN
+        }
+        for (worker in silent) {
+            worker.releaseAsked = now
+            log.info("worker silent machine={} for_ms={}", worker.id, (now - worker.lastReport).inWholeMilliseconds)
+        }
+        if (silent.isNotEmpty()) ports.fleet(FleetMessage.Release(silent.map { it.id }, "silent"))
+        val overdue = unheard.filter { id ->
+            val zone = known[id]?.zone
+            val patience = if (zone == null) releaseAfter else patience(id, zone, settled = false, leading, now)
+            now - leading.claimedAt > patience + if (inquiry.isUnreachable(id)) Duration.ZERO else UNHEARD_MARGIN
         }
-        val overdue = unheard.filter { now - leading.claimedAt > (known[it]?.let { m -> patience(m.zone, settled = false, leading, now) } ?: releaseAfter) + UNHEARD_MARGIN }
         if (overdue.isNotEmpty()) ports.fleet(FleetMessage.Release(overdue, "unheard"))
     }
 
     /**
-     * A takeover waits for machines that have not reported in this term, and nothing else gives proof as soon as their
-     * return does. Not where the former leader is cut off with them, and keeps them running; nor shortly before their leases end.
+     * Whoever takes no connection needn't be waited for, unless a cut explains it. A takeover waits for machines that
+     * have not reported in this term, and nothing else gives proof as soon as their return does. Not where the former
+     * leader is cut off with them, and keeps them running; nor shortly before their leases end.
      */
-    private fun patience(zone: Zone, settled: Boolean, leading: Tenure.Leading, now: Moment): Duration {
+    private fun patience(machine: MachineId, zone: Zone, settled: Boolean, leading: Tenure.Leading, now: Moment): Duration {
+        if (inquiry.isUnreachable(machine) && zone !in doubtfulZones) return workerTimes.report * REPORT_SPREAD
         if (zone !in cutZones) return releaseAfter
         val keptRunning = leading.former?.let { zoneOf[it.node] } == zone
         return if (settled || takeover.settled || keptRunning || takeover.endsWithin(workerTimes.lease, now)) CUT_PATIENCE else releaseAfter
--- a/src/main/kotlin/org/elderhitch/workers/WorkerLine.kt
+++ b/src/main/kotlin/org/elderhitch/workers/WorkerLine.kt
@@ -8,6 +8,7 @@
 import org.elderhitch.json.MalformedJson
 import org.elderhitch.leadership.Term
 import org.slf4j.LoggerFactory
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** What became of commands that were sent to a worker's own address. */
@@ -28,6 +29,7 @@
 public class WorkerLine(private val transport: Transport) {
     private val log = LoggerFactory.getLogger("elderhitch.workers")
     private val turns = Semaphore(AT_ONCE)
+    private val questions = Semaphore(QUESTIONS_AT_ONCE)
 
     /** [entitled] is asked last, when its turn has come: commands don't wait in line beyond the leader's window. */
     public suspend fun send(to: Address, term: Term, session: Long, commands: List<Command>, entitled: () -> Boolean): CommandOutcome =
@@ -44,6 +46,23 @@
             }
         }
 
+    /**
+     * What a worker says, once it knows our term. Two connections must fail before it counts as unreachable: a single
+     * lost packet keeps one from coming about for a second.
+     */
+    public suspend fun ask(at: Address, term: Term, entitled: () -> Boolean): CommandOutcome = questions.withPermit {
+        var first = transport.deliver(at, "GET", "/inspect", null, ASK_CONNECT, TIMEOUT)
+        if (first == Delivery.NotSent) first = transport.deliver(at, "GET", "/inspect", null, ASK_CONNECT, TIMEOUT)
+        val said = when (first) {
+            is Delivery.Answered -> executed(first.response.body) as? CommandOutcome.Executed ?: return CommandOutcome.Unknown
+            Delivery.NotSent -> return CommandOutcome.Unreachable
+            Delivery.Unknown -> return CommandOutcome.Unknown
+        }
+        if (said.report.term >= term || !entitled()) return said
+        val told = transport.deliver(at, "POST", "/do", ReportCodec.encodeDirect(term, said.report.order.session, emptyList()), CONNECT, TIMEOUT)
+        if (told is Delivery.Answered && told.response.status == OK) executed(told.response.body) else said
+    }
+
     private fun executed(body: ByteArray): CommandOutcome = try {
         CommandOutcome.Executed(ReportCodec.decode(body))
     } catch (e: MalformedJson) {
@@ -53,6 +72,8 @@
 
     private companion object {
         const val AT_ONCE = 16
+        const val QUESTIONS_AT_ONCE = 32
+        val ASK_CONNECT = 600.milliseconds
         const val OK = 200
         const val BAD = 400
         const val CONFLICT = 409
