--- a/src/main/kotlin/org/elderhitch/fleet/Renter.kt
+++ b/src/main/kotlin/org/elderhitch/fleet/Renter.kt
@@ -542,7 +542,7 @@
         val listed = machines.associateBy { it.machine.id }
         if (demand?.settled != true) {
             // A takeover asks machines that it hasn't heard yet; only the cloud can say where they are.
-            ports.foreman(ForemanMessage.MachinesListed(machines.mapNotNull { m -> m.address?.let { m.machine.id to it } }.toMap()))
+            ports.foreman(ForemanMessage.MachinesListed(machines.associate { it.machine.id to it.address }))
         }
         unknownSince.keys.retainAll(listed.keys)
         for (entry in listed.values) {
--- a/src/main/kotlin/org/elderhitch/workers/Foreman.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Foreman.kt
@@ -73,7 +73,7 @@
     public data class Recorded(val term: Term, val finished: Map<JobId, List<Int>>) : ForemanMessage
 
     /** Where the cloud says that machines are. */
-    public data class MachinesListed(val where: Map<MachineId, Address>) : ForemanMessage
+    public data class MachinesListed(val where: Map<MachineId, Address?>) : ForemanMessage
 
     /** What a worker said that was asked at its own address. */
     public data class Asked(val term: Term, val machine: MachineId, val outcome: CommandOutcome) : ForemanMessage
--- a/src/main/kotlin/org/elderhitch/workers/Inquiry.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Inquiry.kt
@@ -21,19 +21,25 @@
     private val overdueAfter: Duration = workerTimes.report * REPORT_SPREAD + LATE
     private val asked = HashMap<MachineId, Moment>()
     private val addresses = HashMap<MachineId, Address>()
+    private var listed: Set<MachineId>? = null
     private val unreachable = HashSet<MachineId>()
 
     fun newTerm() {
         asked.clear()
         addresses.clear()
+        listed = null
         unreachable.clear()
     }
 
-    /** Where the cloud says that machines are. */
-    fun listed(where: Map<MachineId, Address>) {
-        addresses.putAll(where)
+    /** The cloud's list in this term, and where it says that machines are. */
+    fun listed(where: Map<MachineId, Address?>) {
+        listed = HashSet(where.keys)
+        where.forEach { (machine, address) -> if (address != null) addresses[machine] = address }
     }
 
+    /** The cloud no longer lists it, or not yet: the list lags. */
+    fun isUnlisted(machine: MachineId): Boolean = listed.let { it != null && machine !in it }
+
     fun isUnreachable(machine: MachineId): Boolean = machine in unreachable
 
     fun heard(machine: MachineId) {
--- a/src/main/kotlin/org/elderhitch/workers/Silence.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Silence.kt
@@ -109,6 +109,8 @@
         }
         if (silent.isNotEmpty()) ports.fleet(FleetMessage.Release(silent.map { it.id }, "silent"))
         val overdue = unheard.filter { id ->
+            // What the cloud doesn't list is mostly long gone; to return it costs nothing then, and is proof at once.
+            if (inquiry.isUnlisted(id)) return@filter now - leading.claimedAt > UNLISTED_PATIENCE
             val zone = known[id]?.zone
             val patience = if (zone == null) releaseAfter else patience(id, zone, settled = false, leading, now)
             now - leading.claimedAt > patience + if (inquiry.isUnreachable(id)) Duration.ZERO else UNHEARD_MARGIN
@@ -139,6 +141,7 @@
         const val REPORT_SPREAD = 1.25
         val RESPONSE_TIMEOUT = 4.seconds
         val NEXT_NODE = 1.seconds
+        val UNLISTED_PATIENCE = 2.seconds
         val UNHEARD_MARGIN = 3.seconds
         val RELEASE_AGAIN = 5.seconds
         val RESIGN_AFTER = 15.seconds
