A fetch counts for as long as it takes beside those under way

Ruled out: missing hints (they fit for 112 machines). Now a machine's fetches count for the next one, and tasks of one image share theirs.

--- a/src/main/kotlin/org/elderhitch/placement/Round.kt
+++ b/src/main/kotlin/org/elderhitch/placement/Round.kt
@@ -33,6 +33,8 @@
     /** Nothing is on it: a gang could have it whole, or it could be returned. */
     public val empty: Boolean,
     public val fetchGbPerS: Double,
+    /** What is being fetched there, or will be for tasks on their way: fetches share the machine's rate. */
+    public val fetchingGb: Double,
 )
 
 public class VictimView(public val task: TaskId, public val priority: Priority, public val need: Resources)
@@ -88,6 +90,10 @@
         var leaving = of.leaving
         var lasting = of.lasting
         var empty = of.empty
+        var fetchingGb = of.fetchingGb
+
+        /** Images that tasks placed in this round bring. */
+        val coming = HashSet<Image>()
         val victims = ArrayList(of.victims)
 
         /** The least important of what could be stopped here. */
@@ -189,11 +195,18 @@
         val opening = if (room.empty) OPENING_S else 0.0
         // Cheap room is for those who may use it; the rest stays free for those who may not.
         val dear = if (spec.spotAllowed && !room.of.spot) DEAR_S else 0.0
-        return fetch(spec, room.of) + opening + dear
+        return fetch(spec, room) + opening + dear
     }
 
-    private fun fetch(spec: JobSpec, machine: MachineView): Double =
-        if (spec.image in machine.images) 0.0 else spec.imageGb / machine.fetchGbPerS.coerceAtLeast(SLOWEST_FETCH)
+    /**
+     * How long the image would take to be there, in seconds. Without a look at what is fetched already, many services that
+     * lost their machines went to the few with most room, and fetched there one beside the other for minutes.
+     */
+    private fun fetch(spec: JobSpec, room: Room): Double {
+        if (spec.image in room.of.images) return 0.0
+        val own = if (spec.image in room.coming) 0.0 else spec.imageGb
+        return (own + room.fetchingGb) / room.of.fetchGbPerS.coerceAtLeast(SLOWEST_FETCH)
+    }
 
     private fun placeTasks(job: JobView) {
         val spec = job.spec
@@ -214,7 +227,7 @@
                 continue
             }
             // Better wait for a place that has the image than fetch it elsewhere for longer.
-            if (warmRoom && fetch(spec, room.of) > WORTH_STOPPING_S) {
+            if (warmRoom && fetch(spec, room) > WORTH_STOPPING_S) {
                 warmRoom = makeRoom(spec, zones) { spec.image in it.images }
                 if (warmRoom) continue
             }
@@ -232,6 +245,7 @@
     private fun take(job: JobView, index: Int, room: Room, zones: MutableMap<Zone, Int>) {
         room.free -= job.spec.need
         room.empty = false
+        if (job.spec.image !in room.of.images && room.coming.add(job.spec.image)) room.fetchingGb += job.spec.imageGb
         if (job.spec.kind == JobKind.SERVICE) room.lasting += job.spec.weight
         zones.merge(room.of.zone, 1, Int::plus)
         input.quota.add(job.spec.team, job.spec.need)
--- a/src/main/kotlin/org/elderhitch/workers/Reconciler.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Reconciler.kt
@@ -71,7 +71,7 @@
         if (log.isDebugEnabled && (placement.phase != task.phase || placement.certainty != Certainty.REPORTED)) {
             log.debug("task task={} phase={} machine={} class={}", task.task, task.phase, worker.id, job.spec.jobClass)
         }
-        if (placement.certainty != Certainty.REPORTED) worker.changed()
+        if (placement.certainty != Certainty.REPORTED || placement.phase != task.phase) worker.changed()
         placement.certainty = Certainty.REPORTED
         if (placement.phase != task.phase) table.dirty = true
         placement.phase = task.phase
--- a/src/main/kotlin/org/elderhitch/workers/RoundFeed.kt
+++ b/src/main/kotlin/org/elderhitch/workers/RoundFeed.kt
@@ -1,6 +1,7 @@
 package org.elderhitch.workers
 
 import org.elderhitch.fleet.Catalog
+import org.elderhitch.jobs.Image
 import org.elderhitch.jobs.JobKind
 import org.elderhitch.jobs.Priority
 import org.elderhitch.jobs.Resources
@@ -54,9 +55,13 @@
         var free = type.resources
         var leaving = Resources.NONE
         val victims = ArrayList<VictimView>()
+        val fetching = HashMap<Image, Double>()
+        val cached = worker.cachedImages(type.cacheGb)
         for (p in worker.placements.values) {
             val job = table.jobs[p.task.job] ?: continue
             free -= job.spec.need
+            val arriving = if (p.certainty == Certainty.REPORTED) p.phase == TaskPhase.FETCHING else job.spec.image !in cached
+            if (arriving) fetching[job.spec.image] = job.spec.imageGb
             // What is in use is not what a cache drops.
             if (p.certainty == Certainty.REPORTED) worker.usesImage(job.spec.image, job.spec.imageGb)
             when {
@@ -68,6 +73,7 @@
         return MachineView(
             worker.id, worker.type, worker.zone, worker.spot, worker.cachedImages(type.cacheGb), free, leaving, victims,
             worker.shunnedBy, lasting(worker), worker.placements.isEmpty(), type.fetchGbPerS,
+            fetching.values.sum(),
         )
     }
 
--- a/src/test/kotlin/org/elderhitch/placement/RoundTest.kt
+++ b/src/test/kotlin/org/elderhitch/placement/RoundTest.kt
@@ -52,9 +52,10 @@
         victims: List<VictimView> = emptyList(),
         lasting: Double = 0.0,
         leaving: Resources = Resources.NONE,
+        fetchingGb: Double = 0.0,
     ) = MachineView(
         MachineId(id), MachineType(type), Zone(zone), spot, images, free, leaving, victims, emptySet(), lasting,
-        empty = free == full, fetchGbPerS = 1.0,
+        empty = free == full, fetchGbPerS = 1.0, fetchingGb = fetchingGb,
     )
 
     private fun quota(mostGpus: Double? = null, reserved: Resources = Resources.NONE) =
@@ -219,6 +220,20 @@
         assertEquals(8, output.placed.count { it.task.job == array.spec.id })
     }
 
+    /** Seen: replicas of a dozen images, lost with a zone, on two machines that then fetched for four minutes. */
+    @Test
+    fun `fetches are spread over machines, since they share a machine's rate`() {
+        val part = full - Resources(4.0, 1.0, 30.0)
+        val machines = List(6) { machine("m$it", free = part) }
+        val jobs = List(6) { job(spec(it, JobKind.SERVICE, 1, Priority.PRODUCTION, spot = false, image = "img-$it").copy(imageGb = 8.0), it + 1L) }
+        assertEquals(6, decide(machines, jobs).placed.map { it.machine }.toSet().size)
+        val busy = machine("m1", free = full - Resources(8.0, 2.0, 60.0), fetchingGb = 8.0)
+        assertEquals(MachineId("m2"), decide(listOf(busy, machine("m2", free = part)), listOf(job(spec(9)))).placed.single().machine)
+        // Tasks that share an image share its fetch.
+        val same = List(3) { job(spec(it, JobKind.SERVICE, 1, Priority.PRODUCTION, spot = false).copy(imageGb = 8.0), it + 1L) }
+        assertEquals(1, decide(machines, same).placed.map { it.machine }.toSet().size)
+    }
+
     @Test
     fun `quota that silent workers may use is not given away`() {
         val output = decide(listOf(machine("m1")), listOf(job(spec(1, tasks = 8))), quota(10.0, reserved = Resources(48.0, 8.0, 384.0)))
