Gangs whose fetch outlasts gang_wait start; services gather; late boots given up

Members that have the image now start later, and an image counts as there once it is there, not while it is fetched. Nothing is rented in a cut zone, and a silent machine is neither idle nor booting.

--- a/src/main/kotlin/org/elderhitch/fleet/Fleet.kt
+++ b/src/main/kotlin/org/elderhitch/fleet/Fleet.kt
@@ -48,6 +48,8 @@
     val yielding: Resources,
     /** The part of [busy] that is expected to end while a machine would boot. */
     val ending: Resources,
+    /** The part of [busy] that services take. */
+    val serving: Resources,
     val usable: Boolean,
     /** How long nothing has been there; null: something is. */
     val idle: Duration?,
--- a/src/main/kotlin/org/elderhitch/fleet/FleetPlan.kt
+++ b/src/main/kotlin/org/elderhitch/fleet/FleetPlan.kt
@@ -34,6 +34,8 @@
     public val arriving: Double,
     public val closedMarkets: Set<Market>,
     public val now: Moment,
+    /** How many times their usual time machines may take to boot before they are given up. */
+    public val hopelessBoot: Double = FleetPlan.HOPELESS_BOOT,
 )
 
 /** [free]: at once, not only after less important tasks have made room. */
@@ -41,14 +43,21 @@
 
 public data class Hiring(val market: Market, val count: Int)
 
-public class PlanOutput(public val hire: List<Hiring>, public val release: List<MachineId>)
+public class PlanOutput(
+    public val hire: List<Hiring>,
+    public val release: List<MachineId>,
+    /** A machine whose services would do as well elsewhere. */
+    public val drain: MachineId?,
+)
 
 /**
  * What to rent and what to return, from what is known: unplaced tasks go, on paper, onto machines that boot and then
  * onto new ones; machines that stay idle beyond their time go back, unless the spare room needs them.
  */
 public class FleetPlan(private val input: PlanInput, private val policy: FleetPolicy) {
-    private class Paper(val machine: Machine?, val market: Market, var free: Resources, val later: Boolean = false)
+    private class Paper(val machine: Machine?, val market: Market, var free: Resources, val later: Boolean = false) {
+        var used = false
+    }
 
     private class Spare(val machine: Machine, var free: Resources, val yielding: Resources)
 
@@ -76,7 +85,7 @@
             place(need.spec, need.count.coerceAtMost(MOST_TASKS), HashMap(need.zones))
         }
         keepHeadroom()
-        return PlanOutput(bought.map { (market, count) -> Hiring(market, count) }, releases())
+        return PlanOutput(bought.map { (market, count) -> Hiring(market, count) }, releases(), drain())
     }
 
     private fun market(machine: Machine) = Market(machine.type, machine.zone, machine.spot)
@@ -106,6 +115,7 @@
             val kept = bought?.takeIf { spec.need.fitsIn(it.free) && allowed(spec, it.market, zones) }
             val paper = fitting.getOrNull(next) ?: kept ?: buy(spec, zones)?.also { bought = it } ?: return
             paper.free -= spec.need
+            paper.used = true
             if (paper.later) paper.machine?.let { spareUsed.add(it.id) }
             zones.merge(paper.market.zone, 1, Int::plus)
         }
@@ -173,12 +183,33 @@
             val use = planned.use
             if (use == null) {
                 val boot = type?.boot ?: continue
-                if (input.now - planned.hiredAt > boot * HOPELESS_BOOT + HOPELESS_MARGIN) release.add(planned.machine.id)
+                if (input.now - planned.hiredAt > boot * input.hopelessBoot + HOPELESS_MARGIN) release.add(planned.machine.id)
                 continue
             }
             if (use.faulty && use.idle != null) release.add(planned.machine.id)
         }
-        return release + idleBeyondPatience()
+        return (release + idleBeyondPatience()).distinct()
+    }
+
+    private val standBy: Int get() = ceil(input.arriving * STAND_BY_SHARE).toInt()
+
+    /**
+     * Services outlive the tasks that shared their machines, and are left scattered. Where the others have room for
+     * them besides all that is kept free, the machine with the fewest can be emptied.
+     */
+    private fun drain(): MachineId? {
+        if (input.unplaced.isNotEmpty()) return null
+        val serving = input.machines.mapNotNull { planned ->
+            val use = planned.use?.takeIf { it.usable && it.serving != Resources.NONE && !planned.machine.spot } ?: return@mapNotNull null
+            input.catalog.types[planned.machine.type]?.let { Triple(planned.machine, use, it.resources) }
+        }
+        val (machine, use, _) = serving.filter { (_, use, has) -> use.busy == use.serving && use.serving.gpus * 2 <= has.gpus && use.serving.cpus * 2 <= has.cpus }
+            .minWithOrNull(compareBy({ it.second.serving.gpus + it.second.serving.cpus }, { it.first.id.text })) ?: return null
+        var room = Resources.NONE
+        for ((other, its, has) in serving) if (other.id != machine.id) room += has - its.busy
+        var wanted = use.serving
+        for (kept in input.headroom) wanted += kept.spec.need * kept.tasks
+        return machine.id.takeIf { wanted.fitsIn(room) }
     }
 
     /**
@@ -188,8 +219,8 @@
     private fun idleBeyondPatience(): List<MachineId> {
         val idle = input.machines.filter { it.use?.idle != null && it.use.faulty.not() && it.machine.id !in spareUsed }
             .sortedWith(compareByDescending<PlannedMachine> { it.machine.spot }.thenBy { it.use?.idle }.thenBy { it.machine.id })
-        val standBy = ceil(input.arriving * STAND_BY_SHARE).toInt()
-        return idle.filterIndexed { n, planned ->
+        val surplusBoots = if (idle.size < standBy) emptyList() else surplusBoots()
+        return surplusBoots + idle.filterIndexed { n, planned ->
             val patience = when {
                 n >= standBy -> policy.returnSurplusAfter
                 planned.machine.spot -> policy.returnSpotAfter
@@ -199,13 +230,19 @@
         }.map { it.machine.id }
     }
 
+    /** Machines that boot for nobody, while enough stand idle: no longer than the cloud charges for anyway. */
+    private fun surplusBoots(): List<MachineId> {
+        val used = papers.filter { it.used }.mapNotNullTo(HashSet()) { it.machine?.id }
+        return input.machines.filter { it.use == null && it.machine.id !in used && input.now - it.hiredAt > LEAST_CHARGED }.map { it.machine.id }
+    }
+
     public companion object {
         private const val TINY = 1e-9
         private const val LATE_BOOT = 2.0
-        private const val HOPELESS_BOOT = 3.5
+        public const val HOPELESS_BOOT: Double = 3.5
         private val HOPELESS_MARGIN = 10.seconds
         private const val MOST_TASKS = 2000
-        private const val STAND_BY_SHARE = 0.3
+        private const val STAND_BY_SHARE = 0.15
         private val LEAST_CHARGED = 60.seconds
 
         /** How many tasks of a shape arrive while a machine boots. */
--- a/src/main/kotlin/org/elderhitch/fleet/Renter.kt
+++ b/src/main/kotlin/org/elderhitch/fleet/Renter.kt
@@ -52,6 +52,8 @@
         val uses: List<MachineUse>,
         val services: List<JobSpec>,
         val settled: Boolean,
+        /** Nothing new is rented there: it couldn't be reached. */
+        val cutZones: Set<Zone> = emptySet(),
     ) : FleetMessage
 
     /** A worker reports from a machine that nobody here knows. */
@@ -104,8 +106,9 @@
         var retryAt = Moment.NEVER
     }
 
-    private class Held(val machine: Machine, val intent: String, val hiredAt: Moment) {
+    private class Held(val machine: Machine, val intent: String, val hiredAt: Moment, val hiredHere: Boolean) {
         var failed = false
+        var cameUp = false
         var releasing = false
     }
 
@@ -126,6 +129,7 @@
     private var nextName = 0
     private var listing = false
     private var listedAt = Moment.NEVER
+    private val boots = BootTimes()
     private var plannedAt = Moment.NEVER
     private var leadingSince = Moment.NEVER
 
@@ -231,7 +235,7 @@
     }
 
     private fun hold(machine: Machine, intent: String, hiredAt: Moment) {
-        held[machine.id] = Held(machine, intent, hiredAt)
+        held[machine.id] = Held(machine, intent, hiredAt, hiredHere = hiredAt > leadingSince && censusSent)
         if (censusSent) ports.foreman(ForemanMessage.MachineKnown(machine))
     }
 
@@ -245,7 +249,11 @@
 
     private fun cameUp(id: MachineId) {
         val leading = leading() ?: return
-        val intent = intents[held[id]?.intent] ?: return
+        val machine = held[id] ?: return
+        val intent = intents[machine.intent] ?: return
+        val boot = catalog.types[machine.machine.type]?.boot
+        if (machine.hiredHere && !machine.cameUp && boot != null && boot.isPositive()) boots.add((clock.now() - machine.hiredAt) / boot)
+        machine.cameUp = true
         if (id in intent.up) {
             ports.foreman(ForemanMessage.MachineCleared(id))
             return
@@ -302,11 +310,12 @@
                 PlannedMachine(Machine(id, intent.market.type, intent.market.zone, intent.market.spot), now, null)
             }
         }
-        val machines = held.values.filter { !it.releasing && !it.failed }.map { PlannedMachine(it.machine, it.hiredAt, uses[it.machine.id]) }
+        // A machine that came up in an earlier term and hasn't been heard yet is silent: it doesn't boot, and isn't given up as slow.
+        val machines = held.values.filter { !it.releasing && !it.failed && (it.machine.id in uses || !wasUp(it)) }.map { PlannedMachine(it.machine, it.hiredAt, uses[it.machine.id]) }
         val headroom = headroom(demand, now)
         ports.foreman(ForemanMessage.KeepFree(headroom.filter { it.free }.map { KeptFree(it.spec, it.tasks) }))
         val output = FleetPlan(
-            PlanInput(catalog, machines + coming, demand.unplaced, headroom, arriving(now), closed.keys.toSet(), now),
+            PlanInput(catalog, machines + coming, demand.unplaced, headroom, arriving(now), closed.keys + unreachable(demand.cutZones), now, boots.hopeless),
             policy,
         ).decide()
         if (log.isDebugEnabled) {
@@ -329,9 +338,16 @@
             }
             val release = output.release.filter { held[it]?.releasing == false }
             if (release.isNotEmpty()) release(release, "idle")
+            output.drain?.let { ports.foreman(ForemanMessage.Drain(it)) }
         }
     }
 
+    private fun unreachable(zones: Set<Zone>): Set<Market> = zones.flatMapTo(HashSet()) { zone ->
+        catalog.types.keys.flatMap { listOf(Market(it, zone, true), Market(it, zone, false)) }
+    }
+
+    private fun wasUp(machine: Held): Boolean = intents[machine.intent]?.let { machine.machine.id in it.up } ?: false
+
     private fun arrived(spec: JobSpec) {
         val now = clock.now()
         val known = arrivals[spec.jobClass]
--- a/src/main/kotlin/org/elderhitch/placement/Round.kt
+++ b/src/main/kotlin/org/elderhitch/placement/Round.kt
@@ -34,7 +34,7 @@
     public val empty: Boolean,
     public val fetchGbPerS: Double,
     /** What is being fetched there, or will be for tasks on their way: fetches share the machine's rate. */
-    public val fetchingGb: Double,
+    public val fetching: Map<Image, Double>,
 )
 
 public class VictimView(public val task: TaskId, public val priority: Priority, public val need: Resources)
@@ -90,10 +90,10 @@
         var leaving = of.leaving
         var lasting = of.lasting
         var empty = of.empty
-        var fetchingGb = of.fetchingGb
+        var fetchingGb = of.fetching.values.sum()
 
-        /** Images that tasks placed in this round bring. */
-        val coming = HashSet<Image>()
+        /** Images that are being fetched, those for tasks placed in this round included. */
+        val coming = HashSet(of.fetching.keys)
         val victims = ArrayList(of.victims)
 
         /** The least important of what could be stopped here. */
--- a/src/main/kotlin/org/elderhitch/workers/CommandList.kt
+++ b/src/main/kotlin/org/elderhitch/workers/CommandList.kt
@@ -36,6 +36,7 @@
                     }
                 }
                 p.certainty == Certainty.REPORTED -> Unit
+                p.certainty == Certainty.ASSIGNED && now < p.sendFrom -> Unit
                 p.certainty == Certainty.ASSIGNED && now > p.sendBy -> table.jobs[p.task.job]?.let { table.remove(it, p) }
                 else -> {
                     p.certainty = Certainty.SENT
@@ -56,7 +57,7 @@
                 if (p.certainty != Certainty.REPORTED || p.stopSent) continue
                 p.stopSent = true
                 list.add(Command.Stop(p.task, p.attempt, stop))
-            } else if (p.certainty == Certainty.ASSIGNED && now <= p.sendBy) {
+            } else if (p.certainty == Certainty.ASSIGNED && now >= p.sendFrom && now <= p.sendBy) {
                 p.certainty = Certainty.SENT
                 p.onItsWay = true
                 worker.loose.add(p.task to p.attempt)
--- /dev/null
+++ b/src/main/kotlin/org/elderhitch/workers/Consolidation.kt
@@ -0,0 +1,74 @@
+package org.elderhitch.workers
+
+import org.elderhitch.fleet.Catalog
+import org.elderhitch.jobs.JobKind
+import org.elderhitch.jobs.Resources
+import org.elderhitch.settings.Zone
+import org.elderhitch.time.Moment
+import org.slf4j.LoggerFactory
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Empties a machine whose few services find room elsewhere: only where each finds its image too, so that it is away for a
+ * stop and a start and not for a fetch, and only services that have run for a while.
+ */
+internal class Consolidation(private val table: TaskTable) {
+    private val log = LoggerFactory.getLogger("elderhitch.workers")
+    private val tried = HashMap<MachineId, Moment>()
+    private var nextMove = Moment.NEVER
+
+    fun newTerm() {
+        tried.clear()
+        nextMove = Moment.NEVER
+    }
+
+    fun drain(machine: MachineId, catalog: Catalog, now: Moment, usable: (WorkerState) -> Boolean) {
+        val worker = table.workers[machine] ?: return
+        if (now < nextMove || tried[machine].let { it != null && now - it < TRY_AGAIN }) return
+        tried[machine] = now
+        val placements = worker.placements.values.toList()
+        if (placements.isEmpty() || !placements.all { movable(it, now) } || !allFit(worker, placements, catalog, usable)) return
+        nextMove = now + BETWEEN_MOVES
+        worker.drainedUntil = now + DRAIN
+        log.info("machine drained machine={} tasks={}", machine, placements.size)
+        for (p in placements) table.jobs[p.task.job]?.let { table.stop(it, p, Duration.ZERO) }
+    }
+
+    private fun movable(placement: Placement, now: Moment): Boolean {
+        val job = table.jobs[placement.task.job] ?: return false
+        val since = placement.runsSince ?: return false
+        return job.spec.kind == JobKind.SERVICE && !job.ended && placement.stop == null && placement.phase == TaskPhase.RUNNING && now - since > SETTLED
+    }
+
+    private fun allFit(from: WorkerState, placements: List<Placement>, catalog: Catalog, usable: (WorkerState) -> Boolean): Boolean {
+        val free = HashMap<MachineId, Resources>()
+        val zones = HashMap<JobState, MutableMap<Zone, Int>>()
+        val others = table.workers.values.filter { it !== from && usable(it) && it.placements.isNotEmpty() && !it.spot }
+        for (p in placements) {
+            val job = table.jobs[p.task.job] ?: return false
+            val inZones = zones.getOrPut(job) { HashMap(job.zones()) }
+            inZones.merge(p.zone, -1, Int::plus)
+            val target = others.firstOrNull { other ->
+                val type = catalog.types[other.type]
+                val room = free[other.id] ?: type?.let { has -> other.placements.values.fold(has.resources) { left, q -> left - (table.jobs[q.task.job]?.spec?.need ?: has.resources) } }
+                type != null && room != null && job.spec.need.fitsIn(room) && job.spec.image in other.cachedImages(type.cacheGb) &&
+                    (job.spec.types == null || other.type in job.spec.types) && (job.spec.zone == null || other.zone == job.spec.zone) &&
+                    (if (job.spec.oneZone) other.zone == p.zone else (inZones[other.zone] ?: 0) < job.spec.mostInOneZone).also { free[other.id] = room }
+            } ?: return false
+            inZones.merge(target.zone, 1, Int::plus)
+            free[target.id] = (free[target.id] ?: return false) - job.spec.need
+        }
+        return true
+    }
+
+    private companion object {
+        /** A start counts once a task has run for half a minute; and what has run for long runs on for long, mostly. */
+        val SETTLED = 60.seconds
+        val TRY_AGAIN = 10.seconds
+
+        /** One machine after the other: each needs a report or two to have its tasks started elsewhere. */
+        val BETWEEN_MOVES = 4.seconds
+        val DRAIN = 20.seconds
+    }
+}
--- a/src/main/kotlin/org/elderhitch/workers/DemandReport.kt
+++ b/src/main/kotlin/org/elderhitch/workers/DemandReport.kt
@@ -10,7 +10,7 @@
 import kotlin.time.Duration
 
 /** What the table says of machines' use, for those who rent and return them. */
-internal class DemandReport(private val table: TaskTable) {
+internal class DemandReport(private val table: TaskTable, private val suspectAfter: Duration) {
     fun uses(catalog: Catalog, now: Moment, usable: (WorkerState) -> Boolean): List<MachineUse> =
         table.workers.values.filter { it.settled }.map { use(it, catalog, now, usable(it)) }
 
@@ -20,16 +20,19 @@
         var busy = Resources.NONE
         var yielding = Resources.NONE
         var ending = Resources.NONE
+        var serving = Resources.NONE
         val boot = catalog.types[worker.type]?.boot ?: Duration.ZERO
         for (p in worker.placements.values) {
             val job = table.jobs[p.task.job] ?: continue
             busy += job.spec.need
+            if (job.spec.kind == JobKind.SERVICE) serving += job.spec.need
             if (job.spec.priority < Priority.PRODUCTION && !job.isGang) yielding += job.spec.need
             if (endsWithin(job, p, boot * ENDING_SHARE, now)) ending += job.spec.need
         }
         return MachineUse(
-            worker.id, busy, yielding, ending, usable,
-            idle = if (worker.placements.isEmpty() && worker.tasks.none { it.phase != TaskPhase.EXITED }) now - worker.idleSince else null,
+            worker.id, busy, yielding, ending, serving, usable,
+            // A silent machine isn't idle: it may be cut off, and what it runs is counted as lost only for its lease's sake.
+            idle = if (now - worker.lastReport <= suspectAfter && worker.isEmpty) now - worker.idleSince else null,
             faulty = worker.sick,
         )
     }
--- a/src/main/kotlin/org/elderhitch/workers/Foreman.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Foreman.kt
@@ -72,6 +72,9 @@
     public data class KeepFree(val kept: List<KeptFree>) : ForemanMessage
     public data class Recorded(val term: Term, val finished: Map<JobId, List<Int>>) : ForemanMessage
 
+    /** A machine that could be emptied, by what the fleet needs. */
+    public data class Drain(val machine: MachineId) : ForemanMessage
+
     /** Where the cloud says that machines are. */
     public data class MachinesListed(val where: Map<MachineId, Address?>) : ForemanMessage
 
@@ -141,8 +144,9 @@
     private val commands = CommandList(table)
     private val inquiry = Inquiry(table, takeover, workerTimes, ports)
     private val silence = Silence(table, takeover, workerTimes, TICK, nodeZones, inquiry, ports)
+    private val consolidation = Consolidation(table)
     private val feed = RoundFeed(table, teams)
-    private val demand = DemandReport(table)
+    private val demand = DemandReport(table, silence.suspectAfter)
     private val known = HashMap<MachineId, Machine>()
     private val cleared = HashSet<MachineId>()
     private val gone = HashSet<MachineId>()
@@ -201,6 +205,7 @@
             is ForemanMessage.Commanded -> commanded(message)
             is ForemanMessage.MachinesListed -> inquiry.listed(message.where)
             is ForemanMessage.Asked -> asked(message)
+            is ForemanMessage.Drain -> drain(message.machine)
             ForemanMessage.Tick -> tick()
         }
     }
@@ -219,6 +224,7 @@
         table.newTerm()
         takeover.begin(leading)
         inquiry.newTerm()
+        consolidation.newTerm()
         known.clear()
         cleared.clear()
         gone.clear()
@@ -352,8 +358,8 @@
             val session = worker.order?.session
             if (worker === answering || worker.calling) continue
             if (address == null || session == null || worker.unreachable || worker.lastReport + workerTimes.report - now < WORTH_CALLING) continue
-            workers.remove()
             val urgent = commands.urgent(worker, now)
+            if (worker.placements.values.none { it.certainty == Certainty.ASSIGNED }) workers.remove()
             if (urgent.isEmpty()) continue
             worker.calling = true
             ports.command(leading, address, worker.id, session, urgent)
@@ -473,7 +479,8 @@
         val usable = { worker: WorkerState -> usable(worker, now) }
         val input = feed.input(leading, takeover.settled, takeover.reserved(known, catalog), catalog, keptFree, now, usable)
         val output = Round(input).decide()
-        for (placed in output.placed) assign(placed.task, placed.machine, placed.joinAttempt, now)
+        val held = GangStart(workerTimes.gangWait, table, catalog).heldBack(output.placed)
+        for (placed in output.placed) assign(placed.task, placed.machine, placed.joinAttempt, now, held[placed.task] ?: Duration.ZERO)
         for (task in output.stopped) {
             val job = table.jobs[task.job] ?: continue
             val p = job.placements[task.index] ?: continue
@@ -485,7 +492,7 @@
         if (leading.mayCommand(decided) && decided - now < times.roundBudget) sendUrgent(leading, decided, answering)
         if (now - lastDemand > DEMAND_EVERY) {
             lastDemand = now
-            ports.fleet(FleetMessage.Demand(output.unplaced, demand.uses(catalog, now, usable), demand.services(), takeover.settled))
+            ports.fleet(FleetMessage.Demand(output.unplaced, demand.uses(catalog, now, usable), demand.services(), takeover.settled, silence.cutZones))
         }
         rest(input, output, now)
     }
@@ -501,6 +508,13 @@
         }
     }
 
+    private fun drain(machine: MachineId) {
+        val now = clock.now()
+        if (leading()?.mayCommand(now) != true || !takeover.settled) return
+        consolidation.drain(machine, catalog, now) { usable(it, now) }
+        table.dirty = true
+    }
+
     /** A machine that the cloud takes back: what can save, saves; what can't, runs on while it may. */
     private fun drainNoticed() {
         for (worker in table.workers.values) {
@@ -515,10 +529,10 @@
     }
 
     private fun usable(worker: WorkerState, now: Moment): Boolean =
-        worker.settled && worker.notice == null && !worker.sick && !worker.unreachable && now > worker.doubtedUntil && worker.id in cleared &&
+        worker.settled && worker.notice == null && !worker.sick && !worker.unreachable && now > worker.doubtedUntil && now > worker.drainedUntil && worker.id in cleared &&
             now - worker.lastReport <= silence.suspectAfter && worker.releaseAsked == Moment.NEVER
 
-    private fun assign(task: TaskId, machine: MachineId, join: Attempt?, now: Moment) {
+    private fun assign(task: TaskId, machine: MachineId, join: Attempt?, now: Moment, held: Duration) {
         val job = table.jobs[task.job] ?: return
         val worker = table.workers[machine] ?: return
         val attempt = when {
@@ -526,7 +540,7 @@
             join != null -> join
             else -> job.gang.attemptFor(job.placements.isNotEmpty()) { Attempt(nextAttempt++) } ?: return
         }
-        table.place(job, task, attempt, worker, Certainty.ASSIGNED, now + times.roundBudget)
+        table.place(job, task, attempt, worker, Certainty.ASSIGNED, now + held + times.roundBudget, now + held)
         if (log.isDebugEnabled) {
             val cached = job.spec.image in worker.cachedImages(catalog.types[worker.type]?.cacheGb ?: 0.0)
             log.debug("task assigned task={} machine={} spot={} cached={}", task, machine, worker.spot, cached)
--- a/src/main/kotlin/org/elderhitch/workers/RoundFeed.kt
+++ b/src/main/kotlin/org/elderhitch/workers/RoundFeed.kt
@@ -60,10 +60,9 @@
         for (p in worker.placements.values) {
             val job = table.jobs[p.task.job] ?: continue
             free -= job.spec.need
-            val arriving = if (p.certainty == Certainty.REPORTED) p.phase == TaskPhase.FETCHING else job.spec.image !in cached
-            if (arriving) fetching[job.spec.image] = job.spec.imageGb
-            // What is in use is not what a cache drops.
-            if (p.certainty == Certainty.REPORTED) worker.usesImage(job.spec.image, job.spec.imageGb)
+            // What is in use is not what a cache drops; what is being fetched is given up when its task goes.
+            val there = p.certainty == Certainty.REPORTED && p.phase != TaskPhase.FETCHING
+            if (there) worker.usesImage(job.spec.image, job.spec.imageGb) else if (job.spec.image !in cached) fetching[job.spec.image] = job.spec.imageGb
             when {
                 p.stop != null -> leaving += job.spec.need
                 !job.isGang && p.certainty == Certainty.REPORTED && job.spec.priority < Priority.PRODUCTION ->
@@ -73,7 +72,7 @@
         return MachineView(
             worker.id, worker.type, worker.zone, worker.spot, worker.cachedImages(type.cacheGb), free, leaving, victims,
             worker.shunnedBy, lasting(worker), worker.placements.isEmpty(), type.fetchGbPerS,
-            fetching.values.sum(),
+            fetching,
         )
     }
 
--- a/src/main/kotlin/org/elderhitch/workers/Silence.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Silence.kt
@@ -32,7 +32,11 @@
         var heard = 0
         var silent = 0
         var unheard = 0
+
+        /** Of all, those whose next report should have come. */
+        var overdue = 0
         val majoritySilent: Boolean get() = silent + unheard >= CUT_LEAST && silent + unheard > heard
+        val majorityOverdue: Boolean get() = overdue + unheard >= CUT_LEAST && (overdue + unheard) * 2 > heard + silent + unheard
     }
 
     private val log = LoggerFactory.getLogger("elderhitch.workers")
@@ -40,8 +44,10 @@
     /** A worker silent for so long gets nothing new. */
     val suspectAfter: Duration = workerTimes.report * 2.5 + 500.milliseconds
     private val releaseAfter = workerTimes.report * REPORT_SPREAD + RESPONSE_TIMEOUT + NEXT_NODE * 2.0
+    private val overdueAfter = workerTimes.report * REPORT_SPREAD + LATE
     private val quietTicks = HashMap<Zone, Int>()
-    private var cutZones: Set<Zone> = emptySet()
+    var cutZones: Set<Zone> = emptySet()
+        private set
 
     /** Where silence can't be told from a cut: most of the zone, or all that should have reported lately, is silent. */
     private var doubtfulZones: Set<Zone> = emptySet()
@@ -56,7 +62,9 @@
         val zones = HashMap<Zone, Hearing>()
         for (worker in table.workers.values) {
             val hearing = zones.getOrPut(worker.zone) { Hearing() }
-            if (now - maxOf(worker.lastReport, leading.claimedAt) > suspectAfter) hearing.silent++ else hearing.heard++
+            val quietFor = now - maxOf(worker.lastReport, leading.claimedAt)
+            if (quietFor > suspectAfter) hearing.silent++ else hearing.heard++
+            if (quietFor > overdueAfter) hearing.overdue++
             if (worker.settled && worker.placements.isNotEmpty() &&
                 now > worker.lastAnswer + workerTimes.lease.stretched() + Takeover.LEASE_MARGIN
             ) {
@@ -75,8 +83,8 @@
         // Machines of an earlier term that never said a word in this one.
         val unheard = takeover.unheard.filter { it !in table.workers }
         unheard.forEach { id -> known[id]?.let { zones.getOrPut(it.zone) { Hearing() }.unheard++ } }
-        doubtfulZones = zones.filterValues { it.majoritySilent }.keys + quiet
-        val cut = if (now - leading.claimedAt > suspectAfter) doubtfulZones else emptySet()
+        doubtfulZones = zones.filterValues { it.majorityOverdue }.keys + quiet
+        val cut = if (now - leading.claimedAt > suspectAfter) zones.filterValues { it.majoritySilent }.keys + quiet else emptySet()
         if (cut != cutZones) log.info("zones cut off zones={} silent={}", cut, silent + unheard.size)
         cutZones = cut
         if (leading.mayCommand(now)) release(leading, now, unheard, known)
@@ -140,6 +148,7 @@
         // the next node a second later, which may send it back here.
         const val REPORT_SPREAD = 1.25
         val RESPONSE_TIMEOUT = 4.seconds
+        val LATE = 300.milliseconds
         val NEXT_NODE = 1.seconds
         val UNLISTED_PATIENCE = 2.seconds
         val UNHEARD_MARGIN = 3.seconds
--- a/src/main/kotlin/org/elderhitch/workers/TaskTable.kt
+++ b/src/main/kotlin/org/elderhitch/workers/TaskTable.kt
@@ -30,8 +30,8 @@
         dirty = true
     }
 
-    fun place(job: JobState, task: TaskId, attempt: Attempt, worker: WorkerState, certainty: Certainty, sendBy: Moment): Placement {
-        val placement = Placement(task, attempt, worker, certainty, sendBy)
+    fun place(job: JobState, task: TaskId, attempt: Attempt, worker: WorkerState, certainty: Certainty, sendBy: Moment, sendFrom: Moment = Moment.NEVER): Placement {
+        val placement = Placement(task, attempt, worker, certainty, sendBy, sendFrom)
         job.placements[task.index] = placement
         worker.placements[task] = placement
         worker.changed()
--- a/src/main/kotlin/org/elderhitch/workers/WorkerState.kt
+++ b/src/main/kotlin/org/elderhitch/workers/WorkerState.kt
@@ -32,6 +32,8 @@
     var certainty: Certainty,
     /** A start that was not sent by then is not sent at all. */
     val sendBy: Moment,
+    /** Members of a gang that have their image start later, so that they don't wait in vain for those that fetch it. */
+    val sendFrom: Moment,
 ) {
     var phase: TaskPhase = TaskPhase.FETCHING
 
@@ -75,6 +77,9 @@
     /** Errors here by job. */
     val erredJobs: HashMap<JobId, Int> = HashMap()
 
+    /** Its services are being moved elsewhere; until then nothing new comes. */
+    var drainedUntil: Moment = Moment.NEVER
+
     /** Something failed here; until then nothing new comes. */
     var doubtedUntil: Moment = Moment.NEVER
     var sick: Boolean = false
@@ -91,6 +96,8 @@
     /** Starts sent to its own address that nobody answered: each may still be executed, or executed once more. */
     val loose: HashSet<Pair<TaskId, Attempt>> = HashSet()
 
+    val isEmpty: Boolean get() = placements.isEmpty() && tasks.none { it.phase != TaskPhase.EXITED }
+
     /** As rounds see the machine; null: it changed since the last one. */
     var view: MachineView? = null
 
--- /dev/null
+++ b/src/test/kotlin/org/elderhitch/workers/GangStartTest.kt
@@ -0,0 +1,52 @@
+package org.elderhitch.workers
+
+import org.elderhitch.fleet.Catalog
+import org.elderhitch.fleet.TypeInfo
+import org.elderhitch.jobs.Image
+import org.elderhitch.jobs.JobId
+import org.elderhitch.jobs.JobKind
+import org.elderhitch.jobs.JobSpec
+import org.elderhitch.jobs.MachineType
+import org.elderhitch.jobs.Priority
+import org.elderhitch.jobs.Resources
+import org.elderhitch.jobs.TaskId
+import org.elderhitch.placement.Placed
+import org.elderhitch.settings.TeamName
+import org.elderhitch.settings.Zone
+import org.elderhitch.store.Revision
+import org.elderhitch.time.Moment
+import org.elderhitch.time.SteadyClock
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+class GangStartTest {
+    private val type = TypeInfo(MachineType("g8"), Resources(48.0, 8.0, 288.0), 120.0, 0.5, 15.0, 6.0, 60.seconds, listOf(Zone("a")))
+    private val table = TaskTable(SteadyClock { Moment(0) })
+
+    private fun held(imageGb: Double): Map<TaskId, Duration> {
+        val spec = JobSpec(
+            JobId("req-1"), "class", TeamName("team"), JobKind.GANG, Priority.HIGH, 3, Resources(43.0, 8.0, 230.0), null, null, true,
+            false, false, Image("img"), imageGb, 90.seconds, Duration.ZERO, Duration.ZERO, null,
+        )
+        table.jobs[spec.id] = JobState(spec, Revision(1))
+        repeat(3) { n -> table.workers[MachineId("m$n")] = WorkerState(MachineId("m$n"), type.name, Zone("a"), false, Moment(0)) }
+        table.workers.getValue(MachineId("m0")).usesImage(spec.image, imageGb)
+        val placed = List(3) { Placed(TaskId(spec.id, it), MachineId("m$it"), null) }
+        return GangStart(30.seconds, table, Catalog(mapOf(type.name to type))).heldBack(placed)
+    }
+
+    /** Seen: a gang of two, placed six times in 190 s: one machine had the image, the other fetched it for over 30 s. */
+    @Test
+    fun `a member that has its image doesn't wait longer for the others than it may`() {
+        val late = held(20.0).getValue(TaskId(JobId("req-1"), 0))
+        assertTrue(late + 30.seconds > 60.seconds, "it gives up before the slowest has fetched: $late")
+        assertTrue(late <= 40.seconds, "it is later than the others mostly are: $late")
+        assertEquals(1, held(20.0).size)
+    }
+
+    @Test
+    fun `short fetches hold nobody back`() = assertEquals(emptyMap(), held(6.0))
+}
