--- a/src/main/kotlin/org/elderhitch/placement/Round.kt
+++ b/src/main/kotlin/org/elderhitch/placement/Round.kt
@@ -30,6 +30,8 @@
     public val shunnedBy: Set<JobId>,
     /** What services take of it: they stay, while other tasks end by themselves. */
     public val lasting: Double,
+    /** What services take of it when they take half. */
+    public val half: Double,
     /** Nothing is on it: a gang could have it whole, or it could be returned. */
     public val empty: Boolean,
     public val fetchGbPerS: Double,
@@ -58,6 +60,8 @@
     public val jobs: List<JobView>,
     public val quota: QuotaLedger,
     public val keptFree: List<KeptFree> = emptyList(),
+    /** There is work that needs machines whole, or nearly so. */
+    public val wholeMachines: Boolean = false,
 )
 
 public data class Placed(val task: TaskId, val machine: MachineId, val joinAttempt: Attempt?)
@@ -181,8 +185,7 @@
             if (!least.fitsIn(room.free)) continue
             open[kept++] = room
             if (spec.need.fitsIn(room.free) && allowed(room.of, spec)) {
-                // Services gather where services are: scattered among tasks that end, each would keep a machine to itself.
-                fitting.add(Candidate(room, detour(spec, room), if (spec.kind == JobKind.SERVICE) room.lasting else 0.0))
+                fitting.add(Candidate(room, detour(spec, room), if (spec.kind == JobKind.SERVICE) gathering(spec, room) else 0.0))
             }
         }
         open.subList(kept, open.size).clear()
@@ -190,6 +193,13 @@
         return fitting.map { it.room }
     }
 
+    /**
+     * Services gather where services are. But unless others need whole machines, only up to half of one: the other half
+     * is for work that makes room for them, where their images are, when a zone is lost with a third of them.
+     */
+    private fun gathering(spec: JobSpec, room: Room): Double =
+        if (input.wholeMachines || room.lasting + spec.weight <= room.of.half) room.lasting else -room.lasting
+
     /** What speaks against a machine, in seconds: the fetch, and what it costs others when an empty machine is opened. */
     private fun detour(spec: JobSpec, room: Room): Double {
         val opening = if (room.empty) OPENING_S else 0.0
--- a/src/main/kotlin/org/elderhitch/workers/RoundFeed.kt
+++ b/src/main/kotlin/org/elderhitch/workers/RoundFeed.kt
@@ -45,7 +45,7 @@
             if (worker.forgive(now)) worker.changed()
             (worker.view ?: view(worker, catalog)?.also { worker.view = it })?.let(machines::add)
         }
-        return RoundInput(machines, views, quota, keptFree)
+        return RoundInput(machines, views, quota, keptFree, wholeMachines = table.jobs.values.any { it.isGang })
     }
 
     private fun view(worker: WorkerState, catalog: Catalog): MachineView? {
@@ -71,7 +71,7 @@
         }
         return MachineView(
             worker.id, worker.type, worker.zone, worker.spot, worker.cachedImages(type.cacheGb), free, leaving, victims,
-            worker.shunnedBy, lasting(worker), worker.placements.isEmpty(), type.fetchGbPerS,
+            worker.shunnedBy, lasting(worker), (type.resources.gpus + type.resources.cpus) / 2, worker.placements.isEmpty(), type.fetchGbPerS,
             fetching,
         )
     }
--- a/src/test/kotlin/org/elderhitch/placement/RoundTest.kt
+++ b/src/test/kotlin/org/elderhitch/placement/RoundTest.kt
@@ -54,7 +54,7 @@
         leaving: Resources = Resources.NONE,
         fetching: Map<Image, Double> = emptyMap(),
     ) = MachineView(
-        MachineId(id), MachineType(type), Zone(zone), spot, images, free, leaving, victims, emptySet(), lasting,
+        MachineId(id), MachineType(type), Zone(zone), spot, images, free, leaving, victims, emptySet(), lasting, (full.gpus + full.cpus) / 2,
         empty = free == full, fetchGbPerS = 1.0, fetching = fetching,
     )
 
@@ -165,6 +165,16 @@
         assertEquals(MachineId("m2"), decide(listOf(emptyWarm, fuller()), listOf(job(spec(3)))).placed.single().machine)
     }
 
+    @Test
+    fun `services leave half a machine to work that yields to them, unless others need it whole`() {
+        fun half() = machine("m1", free = full - Resources(16.0, 4.0, 120.0), lasting = 26.0)
+        fun less() = machine("m2", free = full - Resources(16.0, 4.0, 120.0), lasting = 5.0)
+        val service = job(spec(1, JobKind.SERVICE, 1, Priority.PRODUCTION, spot = false))
+        fun chosen(whole: Boolean) = Round(RoundInput(listOf(half(), less()), listOf(service), quota(), wholeMachines = whole)).decide().placed.single().machine
+        assertEquals(MachineId("m2"), chosen(whole = false))
+        assertEquals(MachineId("m1"), chosen(whole = true))
+    }
+
     @Test
     fun `services gather where services are, however full the others`() {
         val fullOfTasks = machine("m1", free = full - Resources(28.0, 7.0, 210.0))
