Revert: less important work doesn't fetch beside production

The late replicas share one image of over 20 GB, which takes 80 s and more by itself: no order of fetches mends that.

--- a/src/main/kotlin/org/elderhitch/placement/Round.kt
+++ b/src/main/kotlin/org/elderhitch/placement/Round.kt
@@ -37,8 +37,6 @@
     public val fetchGbPerS: Double,
     /** What is being fetched there, or will be for tasks on their way: fetches share the machine's rate. */
     public val fetching: Map<Image, Double>,
-    /** Production waits for one of these fetches. */
-    public val productionFetches: Boolean,
 )
 
 public class VictimView(public val task: TaskId, public val priority: Priority, public val need: Resources)
@@ -98,8 +96,6 @@
         var empty = of.empty
         var fetchingGb = of.fetching.values.sum()
 
-        var productionFetches = of.productionFetches
-
         /** Images that are being fetched, those for tasks placed in this round included. */
         val coming = HashSet(of.fetching.keys)
         val victims = ArrayList(of.victims)
@@ -188,7 +184,7 @@
             visits++
             if (!least.fitsIn(room.free)) continue
             open[kept++] = room
-            if (spec.need.fitsIn(room.free) && allowed(room.of, spec) && !wouldSlow(spec, room)) {
+            if (spec.need.fitsIn(room.free) && allowed(room.of, spec)) {
                 fitting.add(Candidate(room, detour(spec, room), if (spec.kind == JobKind.SERVICE) gathering(spec, room) else 0.0))
             }
         }
@@ -197,13 +193,6 @@
         return fitting.map { it.room }
     }
 
-    /**
-     * A fetch beside one that production waits for would halve its rate: less important work waits, or goes elsewhere.
-     * (Seen: the first replicas of a day fetched for 91 s beside the images of the tasks that filled up their machines.)
-     */
-    private fun wouldSlow(spec: JobSpec, room: Room): Boolean =
-        room.productionFetches && spec.priority < Priority.PRODUCTION && spec.image !in room.of.images && spec.image !in room.coming
-
     /**
      * Services gather where services are. But unless others need whole machines, only up to half of one: the other half
      * is for work that makes room for them, where their images are, when a zone is lost with a third of them.
@@ -266,10 +255,7 @@
     private fun take(job: JobView, index: Int, room: Room, zones: MutableMap<Zone, Int>) {
         room.free -= job.spec.need
         room.empty = false
-        if (job.spec.image !in room.of.images) {
-            if (room.coming.add(job.spec.image)) room.fetchingGb += job.spec.imageGb
-            if (job.spec.priority == Priority.PRODUCTION) room.productionFetches = true
-        }
+        if (job.spec.image !in room.of.images && room.coming.add(job.spec.image)) room.fetchingGb += job.spec.imageGb
         if (job.spec.kind == JobKind.SERVICE) room.lasting += job.spec.weight
         zones.merge(room.of.zone, 1, Int::plus)
         input.quota.add(job.spec.team, job.spec.need)
--- a/src/main/kotlin/org/elderhitch/workers/RoundFeed.kt
+++ b/src/main/kotlin/org/elderhitch/workers/RoundFeed.kt
@@ -56,19 +56,13 @@
         var leaving = Resources.NONE
         val victims = ArrayList<VictimView>()
         val fetching = HashMap<Image, Double>()
-        var productionFetches = false
         val cached = worker.cachedImages(type.cacheGb)
         for (p in worker.placements.values) {
             val job = table.jobs[p.task.job] ?: continue
             free -= job.spec.need
             // What is in use is not what a cache drops; what is being fetched is given up when its task goes.
             val there = p.certainty == Certainty.REPORTED && p.phase != TaskPhase.FETCHING
-            if (there) {
-                worker.usesImage(job.spec.image, job.spec.imageGb)
-            } else if (job.spec.image !in cached) {
-                fetching[job.spec.image] = job.spec.imageGb
-                productionFetches = productionFetches || job.spec.priority == Priority.PRODUCTION
-            }
+            if (there) worker.usesImage(job.spec.image, job.spec.imageGb) else if (job.spec.image !in cached) fetching[job.spec.image] = job.spec.imageGb
             when {
                 p.stop != null -> leaving += job.spec.need
                 !job.isGang && p.certainty == Certainty.REPORTED && job.spec.priority < Priority.PRODUCTION ->
@@ -78,7 +72,7 @@
         return MachineView(
             worker.id, worker.type, worker.zone, worker.spot, worker.cachedImages(type.cacheGb), free, leaving, victims,
             worker.shunnedBy, lasting(worker), (type.resources.gpus + type.resources.cpus) / 2, worker.placements.isEmpty(), type.fetchGbPerS,
-            fetching, productionFetches,
+            fetching,
         )
     }
 
--- a/src/test/kotlin/org/elderhitch/placement/RoundTest.kt
+++ b/src/test/kotlin/org/elderhitch/placement/RoundTest.kt
@@ -53,10 +53,9 @@
         lasting: Double = 0.0,
         leaving: Resources = Resources.NONE,
         fetching: Map<Image, Double> = emptyMap(),
-        productionFetches: Boolean = false,
     ) = MachineView(
         MachineId(id), MachineType(type), Zone(zone), spot, images, free, leaving, victims, emptySet(), lasting, (full.gpus + full.cpus) / 2,
-        empty = free == full, fetchGbPerS = 1.0, fetching = fetching, productionFetches = productionFetches,
+        empty = free == full, fetchGbPerS = 1.0, fetching = fetching,
     )
 
     private fun quota(mostGpus: Double? = null, reserved: Resources = Resources.NONE) =
@@ -245,18 +244,6 @@
         assertEquals(1, decide(machines, same).placed.map { it.machine }.toSet().size)
     }
 
-    @Test
-    fun `nothing less important fetches beside production`() {
-        val array = job(spec(1, priority = Priority.LOW, image = "other"))
-        fun fetching() = machine("m1", fetching = mapOf(Image("img") to 8.0), productionFetches = true)
-        assertEquals(0, decide(listOf(fetching()), listOf(array)).placed.size)
-        val service = job(spec(2, JobKind.SERVICE, 1, Priority.PRODUCTION, spot = false))
-        val both = decide(listOf(machine("m1"), machine("m2", spot = true)), listOf(service, array)).placed.associate { it.task.job to it.machine }
-        assertEquals(mapOf(service.spec.id to MachineId("m1"), array.spec.id to MachineId("m2")), both)
-        // What shares the image, or finds its own there, slows nothing down.
-        assertEquals(1, decide(listOf(fetching()), listOf(job(spec(3, priority = Priority.LOW)))).placed.size)
-    }
-
     @Test
     fun `quota that silent workers may use is not given away`() {
         val output = decide(listOf(machine("m1")), listOf(job(spec(1, tasks = 8))), quota(10.0, reserved = Resources(48.0, 8.0, 384.0)))
