--- a/src/main/kotlin/org/elderhitch/fleet/CloudClient.kt
+++ b/src/main/kotlin/org/elderhitch/fleet/CloudClient.kt
@@ -7,7 +7,7 @@
 import org.elderhitch.jobs.Resources
 import org.elderhitch.json.Json
 import org.elderhitch.json.JsonObject
-import org.elderhitch.json.MalformedJson
+import org.elderhitch.json.decodedFrom
 import org.elderhitch.settings.Zone
 import org.elderhitch.store.Purpose
 import org.elderhitch.store.RateBudget
@@ -34,7 +34,7 @@
     public suspend fun catalog(): Catalog? {
         val response = call("GET", "/flavors", null, Purpose.PROGRESS) ?: return null
         if (response.status != OK) return null
-        return decoded(null) {
+        return decodedFrom("cloud", log, null) {
             val types = Json.parseObject(response.body).objects("rigs").map(::type)
             if (types.isEmpty()) null else Catalog(types.associateBy { it.name })
         }
@@ -53,7 +53,7 @@
             ),
         )
         val response = call("POST", "/machines", body, Purpose.RECORD) ?: return HireOutcome.Unknown
-        return decoded(HireOutcome.Unknown) {
+        return decodedFrom("cloud", log, HireOutcome.Unknown) {
             when (response.status) {
                 OK -> HireOutcome.Hired(Json.parseObject(response.body).stringsOrNull("stalls").orEmpty().map(::MachineId))
                 BUSY -> if (response.body.decodeToString().contains("no capacity")) HireOutcome.NoCapacity else HireOutcome.Unknown
@@ -78,7 +78,7 @@
             val target = "/machines?page=$PAGE" + (after?.let { "&after=$it" } ?: "")
             val response = call("GET", target, null, Purpose.OTHER) ?: return null
             if (response.status != OK) return null
-            val more = decoded(null) {
+            val more = decodedFrom("cloud", log, null) {
                 val body = Json.parseObject(response.body)
                 body.objects("stalls").mapTo(all) {
                     ListedMachine(
@@ -99,13 +99,6 @@
         return transport.call(address, method, target, body, TIMEOUT)
     }
 
-    private inline fun <T> decoded(otherwise: T, decode: () -> T): T = try {
-        decode()
-    } catch (e: MalformedJson) {
-        log.info("malformed answer from=cloud reason=\"{}\"", e.message)
-        otherwise
-    }
-
     public companion object {
         public const val MOST_RELEASED: Int = 100
         public const val MOST_HIRED: Int = 50
--- /dev/null
+++ b/src/main/kotlin/org/elderhitch/fleet/HireIntent.kt
@@ -0,0 +1,40 @@
+package org.elderhitch.fleet
+
+import org.elderhitch.jobs.MachineType
+import org.elderhitch.json.JsonObject
+import org.elderhitch.settings.Zone
+import org.elderhitch.time.Moment
+import org.elderhitch.workers.MachineId
+
+/** A request to rent, recorded before it is made and completed with the machines' names: what every later term knows of them. */
+internal class HireIntent(val name: String, val market: Market, val count: Int) {
+    var machines: List<MachineId>? = null
+
+    /** Machines that may have been given tasks: recorded before their first one is. */
+    val up = HashSet<MachineId>()
+    var cameUp = HashSet<MachineId>()
+    var writingUp = false
+    var busy = false
+    var retryAt = Moment.NEVER
+
+    fun encode(): Map<String, Any?> = linkedMapOf<String, Any?>(
+        "rig" to market.type.name,
+        "hall" to market.zone.name,
+        "borrowedRigs" to market.spot,
+        "count" to count,
+    ).apply {
+        machines?.let { put("stalls", it.map(MachineId::text)) }
+        val recorded = up + cameUp
+        if (recorded.isNotEmpty()) put("up", recorded.map(MachineId::text))
+    }
+
+    companion object {
+        fun decode(name: String, value: JsonObject): HireIntent {
+            val market = Market(MachineType(value.string("rig")), Zone(value.string("hall")), value.boolean("borrowedRigs"))
+            return HireIntent(name, market, value.count("count").toInt()).apply {
+                machines = value.stringsOrNull("stalls")?.map(::MachineId)
+                value.stringsOrNull("up")?.mapTo(up, ::MachineId)
+            }
+        }
+    }
+}
--- a/src/main/kotlin/org/elderhitch/fleet/Renter.kt
+++ b/src/main/kotlin/org/elderhitch/fleet/Renter.kt
@@ -32,11 +32,9 @@
 import org.elderhitch.workers.Report
 import org.slf4j.LoggerFactory
 import kotlin.math.ceil
-import kotlin.math.exp
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
-import kotlin.time.DurationUnit
 
 public sealed interface FleetMessage {
     /** All intents that the state service holds. */
@@ -95,33 +93,20 @@
     private val clock: SteadyClock,
     private val ports: FleetPorts,
 ) : Actor<FleetMessage>(scope) {
-    private class Intent(val name: String, val market: Market, val count: Int) {
-        var machines: List<MachineId>? = null
-
-        /** Machines that may have been given tasks: recorded before their first one is. */
-        val up = HashSet<MachineId>()
-        var cameUp = HashSet<MachineId>()
-        var writingUp = false
-        var busy = false
-        var retryAt = Moment.NEVER
-    }
-
     private class Held(val machine: Machine, val intent: String, val hiredAt: Moment, val hiredHere: Boolean) {
         var failed = false
         var cameUp = false
         var releasing = false
     }
 
-    private class Arrivals(val spec: JobSpec, var ratePerS: Double, var at: Moment)
-
     private val log = LoggerFactory.getLogger("elderhitch.fleet")
     private var tenure: Tenure = Tenure.Following(null, Term.NONE)
     private var catalog = Catalog.EMPTY
-    private val intents = LinkedHashMap<String, Intent>()
+    private val intents = LinkedHashMap<String, HireIntent>()
     private val held = HashMap<MachineId, Held>()
     private val closed = HashMap<Market, Moment>()
     private val closings = HashMap<Market, Int>()
-    private val arrivals = HashMap<String, Arrivals>()
+    private val arrivals = Arrivals()
     private val unknownSince = HashMap<MachineId, Moment>()
     private var demand: FleetMessage.Demand? = null
     private var complete = false
@@ -154,7 +139,7 @@
             is FleetMessage.Changed -> if (leading() == null || !complete) message.changes.forEach(::changed)
             is FleetMessage.TenureIs -> tenureIs(message.tenure)
             is FleetMessage.TableComplete -> if (message.term == leading()?.term) tableComplete()
-            is FleetMessage.JobOpened -> arrived(message.spec)
+            is FleetMessage.JobOpened -> arrivals.add(message.spec, clock.now())
             is FleetMessage.Demand -> demand = message
             is FleetMessage.Stray -> adopt(
                 Machine(message.report.machine, message.report.type, message.report.zone, message.report.spot),
@@ -183,28 +168,12 @@
     private fun put(entry: Entry) {
         val subject = Keys.subject(entry.key) as? Subject.Hire ?: return
         try {
-            val value = entry.value
-            val market = Market(MachineType(value.string("rig")), Zone(value.string("hall")), value.boolean("borrowedRigs"))
-            val intent = Intent(subject.name, market, value.count("count").toInt())
-            intent.machines = value.stringsOrNull("stalls")?.map(::MachineId)
-            value.stringsOrNull("up")?.mapTo(intent.up, ::MachineId)
-            intents[subject.name] = intent
+            intents[subject.name] = HireIntent.decode(subject.name, entry.value)
         } catch (e: MalformedJson) {
             log.error("intent malformed key={} reason=\"{}\"", entry.key, e.message)
         }
     }
 
-    private fun encode(intent: Intent): Map<String, Any?> = linkedMapOf<String, Any?>(
-        "rig" to intent.market.type.name,
-        "hall" to intent.market.zone.name,
-        "borrowedRigs" to intent.market.spot,
-        "count" to intent.count,
-    ).apply {
-        intent.machines?.let { put("stalls", it.map(MachineId::text)) }
-        val up = intent.up + intent.cameUp
-        if (up.isNotEmpty()) put("up", up.map(MachineId::text))
-    }
-
     private fun tenureIs(next: Tenure) {
         val before = leading()?.term
         tenure = next
@@ -262,7 +231,7 @@
         if (!intent.writingUp) writeUp(leading, intent)
     }
 
-    private fun writeUp(leading: Tenure.Leading, intent: Intent) {
+    private fun writeUp(leading: Tenure.Leading, intent: HireIntent) {
         intent.writingUp = true
         val written = intent.cameUp.toSet()
         write(leading, intent) { version -> tell(FleetMessage.UpWritten(leading.term, intent.name, written, version != null)) }
@@ -315,7 +284,7 @@
         val headroom = headroom(demand, now)
         ports.foreman(ForemanMessage.KeepFree(headroom.filter { it.free }.map { KeptFree(it.spec, it.tasks) }))
         val output = FleetPlan(
-            PlanInput(catalog, machines + coming, demand.unplaced, headroom, arriving(now), closed.keys + unreachable(demand.cutZones), now, boots.hopeless),
+            PlanInput(catalog, machines + coming, demand.unplaced, headroom, arrivals.machinesWorth(catalog, now), closed.keys + unreachable(demand.cutZones), now, boots.hopeless),
             policy,
         ).decide()
         if (log.isDebugEnabled) {
@@ -348,20 +317,11 @@
 
     private fun wasUp(machine: Held): Boolean = intents[machine.intent]?.let { machine.machine.id in it.up } ?: false
 
-    private fun arrived(spec: JobSpec) {
-        val now = clock.now()
-        val known = arrivals[spec.jobClass]
-        val rate = known?.let { decayed(it, now) } ?: 0.0
-        arrivals[spec.jobClass] = Arrivals(spec, rate + spec.tasks / ARRIVALS_OVER.toDouble(DurationUnit.SECONDS), now)
-    }
-
-    private fun decayed(arrivals: Arrivals, now: Moment): Double = arrivals.ratePerS * exp(-((now - arrivals.at) / ARRIVALS_OVER))
-
     private fun headroom(demand: FleetMessage.Demand, now: Moment): List<Headroom> =
         demand.services.groupBy { it.jobClass }.values.flatMap { specs ->
             val spec = specs.maxBy { it.need.gpus }
             val type = catalog.fitting(spec).minByOrNull { it.price } ?: return@flatMap emptyList()
-            val rate = minOf(arrivals[spec.jobClass]?.let { decayed(it, now) } ?: 0.0, MOST_RATE)
+            val rate = minOf(arrivals.perSecond(spec.jobClass, now), MOST_RATE)
             val arriving = FleetPlan.arrivingTasks(type, rate, policy)
             val stranded = FleetPlan.strandedTasks(spec, type, policy)
             if (spec.jobClass in instant) {
@@ -371,17 +331,11 @@
             }
         }
 
-    /** Machines' worth of tasks that arrive while a machine boots. */
-    private fun arriving(now: Moment): Double = arrivals.values.sumOf { known ->
-        val type = catalog.fitting(known.spec).minByOrNull { it.price } ?: return@sumOf 0.0
-        decayed(known, now) * type.boot.toDouble(DurationUnit.SECONDS) / FleetPlan.tasksPerMachine(known.spec, type).coerceAtLeast(1.0)
-    }
-
     // ---- renting -----------------------------------------------------------------------------------------------
 
     private fun newIntent(leading: Tenure.Leading, market: Market, count: Int) {
         // The term is never used twice, so neither is the name.
-        val intent = Intent("r-${leading.term}-${nextName++}", market, count)
+        val intent = HireIntent("r-${leading.term}-${nextName++}", market, count)
         intent.busy = true
         intents[intent.name] = intent
         write(leading, intent) { version ->
@@ -389,8 +343,8 @@
         }
     }
 
-    private fun write(leading: Tenure.Leading, intent: Intent, then: (Revision?) -> Unit) {
-        val value = encode(intent)
+    private fun write(leading: Tenure.Leading, intent: HireIntent, then: (Revision?) -> Unit) {
+        val value = intent.encode()
         scope.launch {
             var result: Revision? = null
             for (attempt in 0 until WRITE_TRIES) {
@@ -441,7 +395,7 @@
         }
     }
 
-    private fun request(leading: Tenure.Leading, intent: Intent) {
+    private fun request(leading: Tenure.Leading, intent: HireIntent) {
         if (!leading.mayCommand(clock.now())) return
         intent.busy = true
         scope.launch { tell(FleetMessage.HireDone(leading.term, intent.name, cloud.hire(intent.name, intent.market, intent.count))) }
@@ -474,7 +428,7 @@
         }
     }
 
-    private fun recordNames(leading: Tenure.Leading, intent: Intent) {
+    private fun recordNames(leading: Tenure.Leading, intent: HireIntent) {
         write(leading, intent) { version -> tell(FleetMessage.HireWritten(leading.term, intent.name, version)) }
     }
 
@@ -484,7 +438,7 @@
         closed[market] = clock.now() + minOf(CLOSED_FIRST * (1 shl minOf(times - 1, MAX_DOUBLINGS)), CLOSED_MOST)
     }
 
-    private fun forgetIntent(leading: Tenure.Leading, intent: Intent) {
+    private fun forgetIntent(leading: Tenure.Leading, intent: HireIntent) {
         intents.remove(intent.name)
         drop(leading, intent.name)
     }
@@ -500,7 +454,7 @@
         val leading = leading() ?: return
         if (!complete || machine.id in held || !leading.mayCommand(clock.now())) return
         if (intents.values.any { it.machines == null || machine.id in it.machines.orEmpty() }) return
-        val intent = Intent("adopted-${leading.term}-${machine.id}", Market(machine.type, machine.zone, machine.spot), 1)
+        val intent = HireIntent("adopted-${leading.term}-${machine.id}", Market(machine.type, machine.zone, machine.spot), 1)
         if (intent.name in intents) return
         log.info("machine adopted machine={}", machine.id)
         intent.machines = listOf(machine.id)
@@ -595,7 +549,8 @@
         const val WRITE_TRIES = 3
         val WRITE_PATIENCE = 3.seconds
         val WRITE_PAUSE = 500.milliseconds
-        val ARRIVALS_OVER = 120.seconds
+
+        /** Tasks a second. The jobs that a day begins with come at once: no rate that room must be kept for. */
         const val MOST_RATE = 0.3
     }
 }
--- a/src/main/kotlin/org/elderhitch/store/StateClient.kt
+++ b/src/main/kotlin/org/elderhitch/store/StateClient.kt
@@ -5,7 +5,7 @@
 import org.elderhitch.http.Transport
 import org.elderhitch.json.Json
 import org.elderhitch.json.JsonObject
-import org.elderhitch.json.MalformedJson
+import org.elderhitch.json.decodedFrom
 import org.elderhitch.settings.StateLimits
 import org.slf4j.LoggerFactory
 import kotlin.time.Duration
@@ -94,7 +94,7 @@
 
     public suspend fun read(key: String, purpose: Purpose): ReadOutcome {
         val response = request("GET", "/store/$key", null, purpose) ?: return ReadOutcome.Unavailable
-        return decoded(ReadOutcome.Unavailable) {
+        return decodedFrom("state", log, ReadOutcome.Unavailable) {
             when (response.status) {
                 OK -> ReadOutcome.Found(entry(Json.parseObject(response.body)))
                 NOT_FOUND -> ReadOutcome.Absent
@@ -107,7 +107,7 @@
         val target = "/store?prefix=$prefix&page=$PAGE" + (after?.let { "&after=$it" } ?: "")
         val response = request("GET", target, null, Purpose.LEADERSHIP, LIST_TIMEOUT) ?: return null
         if (response.status != OK) return null
-        return decoded(null) {
+        return decodedFrom("state", log, null) {
             val body = Json.parseObject(response.body)
             Page(body.objects("entries").map(::entry), body.boolean("more"), Revision(body.long("ledgerMark")))
         }
@@ -117,7 +117,7 @@
     public suspend fun watch(prefix: String, after: Revision, wait: Duration, purpose: Purpose): WatchOutcome {
         val target = "/watch?prefix=$prefix&after=$after&blockMs=${wait.inWholeMilliseconds}"
         val response = request("GET", target, null, purpose, wait + WATCH_GRACE) ?: return WatchOutcome.Unavailable
-        return decoded(WatchOutcome.Unavailable) {
+        return decodedFrom("state", log, WatchOutcome.Unavailable) {
             when (response.status) {
                 OK -> {
                     val body = Json.parseObject(response.body)
@@ -149,7 +149,7 @@
         val response = transport.call(address, "POST", "/commit", body, COMMIT_TIMEOUT)
         onContact(response != null && response.status != BUSY)
         if (response == null) return CommitOutcome.Unknown
-        return decoded(CommitOutcome.Unknown) {
+        return decodedFrom("state", log, CommitOutcome.Unknown) {
             when (response.status) {
                 OK -> CommitOutcome.Committed(Revision(Json.parseObject(response.body).long("ledgerMark")))
                 CONFLICT -> CommitOutcome.Conflict(Json.parseObject(response.body).stringsOrNull("failed").orEmpty().toSet())
@@ -179,7 +179,7 @@
     public suspend fun grant(ttl: Duration): LeaseOutcome {
         val body = Json.bytes(mapOf("ttlMs" to ttl.inWholeMilliseconds))
         val response = request("POST", "/leases", body, Purpose.LEADERSHIP) ?: return LeaseOutcome.Unavailable
-        return decoded(LeaseOutcome.Unavailable) {
+        return decodedFrom("state", log, LeaseOutcome.Unavailable) {
             if (response.status == OK) LeaseOutcome.Held(LeaseId(Json.parseObject(response.body).long("permit"))) else LeaseOutcome.Unavailable
         }
     }
@@ -218,13 +218,6 @@
         return Change.Put(Entry(put, from.obj("value"), version))
     }
 
-    private inline fun <T> decoded(otherwise: T, decode: () -> T): T = try {
-        decode()
-    } catch (e: MalformedJson) {
-        log.info("malformed answer from=state reason=\"{}\"", e.message)
-        otherwise
-    }
-
     private companion object {
         const val OK = 200
         const val BAD = 400
