Where a task may run, machines' loads and reports' timing are said once

The rule stood in the round, the plan and the consolidation; the load of a machine in four places; how late a report may come and how long a worker waits for its answer in three. Consolidation's room is looked up by a function instead of inside a condition.

--- a/src/main/kotlin/org/elderhitch/fleet/FleetPlan.kt
+++ b/src/main/kotlin/org/elderhitch/fleet/FleetPlan.kt
@@ -95,10 +95,7 @@
         input.now - planned.hiredAt > type.boot * LATE_BOOT
 
     private fun allowed(spec: JobSpec, market: Market, zones: Map<Zone, Int>): Boolean =
-        (spec.types == null || market.type in spec.types) &&
-            (spec.zone == null || market.zone == spec.zone) &&
-            (!market.spot || spec.spotAllowed) &&
-            (if (spec.oneZone) zones.isEmpty() || market.zone in zones else (zones[market.zone] ?: 0) < spec.mostInOneZone)
+        spec.mayUse(market.type, market.zone, market.spot) && spec.zoneAllows(zones, market.zone)
 
     /**
      * Tasks of one shape, one after the other. Room only shrinks and zones only fill, so that what a task passed over is
@@ -204,7 +201,7 @@
             input.catalog.types[planned.machine.type]?.let { Triple(planned.machine, use, it.resources) }
         }
         val (machine, use, _) = serving.filter { (_, use, has) -> use.busy == use.serving && use.serving.gpus * 2 <= has.gpus && use.serving.cpus * 2 <= has.cpus }
-            .minWithOrNull(compareBy({ it.second.serving.gpus + it.second.serving.cpus }, { it.first.id.text })) ?: return null
+            .minWithOrNull(compareBy({ it.second.serving.weight }, { it.first.id.text })) ?: return null
         var room = Resources.NONE
         for ((other, its, has) in serving) if (other.id != machine.id) room += has - its.busy
         var wanted = use.serving
--- a/src/main/kotlin/org/elderhitch/jobs/Job.kt
+++ b/src/main/kotlin/org/elderhitch/jobs/Job.kt
@@ -54,6 +54,9 @@
 
     public operator fun times(count: Int): Resources = Resources(cpus * count, gpus * count, memoryGb * count)
 
+    /** What machines' loads are compared by, whatever they have. */
+    public val weight: Double get() = gpus + cpus
+
     public fun fitsIn(room: Resources): Boolean =
         cpus <= room.cpus + SLACK && gpus <= room.gpus + SLACK && memoryGb <= room.memoryGb + SLACK
 
@@ -87,11 +90,16 @@
 ) {
     public val saves: Boolean get() = checkpointEvery > Duration.ZERO
 
-    /** How much of a machine one task takes, in whatever it has: what machines' loads are compared by. */
-    public val weight: Double get() = need.gpus + need.cpus
-
     /** How many of the job's tasks may be in one zone. */
     public val mostInOneZone: Int get() = if (spread) (tasks + 1) / 2 else tasks
+
+    /** Whether a task may run on such a machine at all. */
+    public fun mayUse(type: MachineType, zone: Zone, spot: Boolean): Boolean =
+        (types == null || type in types) && (this.zone == null || zone == this.zone) && (!spot || spotAllowed)
+
+    /** Whether one more task may be in the zone, given where the others are. */
+    public fun zoneAllows(zones: Map<Zone, Int>, zone: Zone): Boolean =
+        if (oneZone) zones.isEmpty() || zone in zones else (zones[zone] ?: 0) < mostInOneZone
 }
 
 /** How a job ended, for ever. */
--- a/src/main/kotlin/org/elderhitch/placement/Round.kt
+++ b/src/main/kotlin/org/elderhitch/placement/Round.kt
@@ -171,10 +171,7 @@
     }
 
     private fun allowed(machine: MachineView, spec: JobSpec): Boolean =
-        (spec.types == null || machine.type in spec.types) &&
-            (spec.zone == null || machine.zone == spec.zone) &&
-            (!machine.spot || spec.spotAllowed) &&
-            spec.id !in machine.shunnedBy
+        spec.mayUse(machine.type, machine.zone, machine.spot) && spec.id !in machine.shunnedBy
 
     /** Where a task of the job fits now, the best place first. */
     private fun candidates(spec: JobSpec): List<Room> {
@@ -198,7 +195,7 @@
      * is for work that makes room for them, where their images are, when a zone is lost with a third of them.
      */
     private fun gathering(spec: JobSpec, room: Room): Double =
-        if (input.wholeMachines || room.lasting + spec.weight <= room.of.half) room.lasting else -room.lasting
+        if (input.wholeMachines || room.lasting + spec.need.weight <= room.of.half) room.lasting else -room.lasting
 
     /** What speaks against a machine, in seconds: the fetch, and what it costs others when an empty machine is opened. */
     private fun detour(spec: JobSpec, room: Room): Double {
@@ -228,7 +225,7 @@
         for (index in job.pending) {
             if (!input.quota.allows(spec.team, spec.need)) break
             // Neither room nor zones ever come back within a round: what is passed over once is of no more use to this job.
-            while (next < candidates.size && !(spec.need.fitsIn(candidates[next].free) && zoneAllows(spec, zones, candidates[next].of.zone))) {
+            while (next < candidates.size && !(spec.need.fitsIn(candidates[next].free) && spec.zoneAllows(zones, candidates[next].of.zone))) {
                 next++
             }
             val room = candidates.getOrNull(next)
@@ -247,16 +244,11 @@
         if (missing > 0) unplaced.add(Unplaced(spec, missing, zones))
     }
 
-    private fun zoneAllows(spec: JobSpec, zones: Map<Zone, Int>, zone: Zone): Boolean {
-        if (spec.oneZone) return zones.isEmpty() || zone in zones
-        return (zones[zone] ?: 0) < spec.mostInOneZone
-    }
-
     private fun take(job: JobView, index: Int, room: Room, zones: MutableMap<Zone, Int>) {
         room.free -= job.spec.need
         room.empty = false
         if (job.spec.image !in room.of.images && room.coming.add(job.spec.image)) room.fetchingGb += job.spec.imageGb
-        if (job.spec.kind == JobKind.SERVICE) room.lasting += job.spec.weight
+        if (job.spec.kind == JobKind.SERVICE) room.lasting += job.spec.need.weight
         zones.merge(room.of.zone, 1, Int::plus)
         input.quota.add(job.spec.team, job.spec.need)
         placed.add(Placed(TaskId(job.spec.id, index), room.of.id, job.joinAttempt))
@@ -266,7 +258,7 @@
     private fun makeRoom(spec: JobSpec, zones: MutableMap<Zone, Int>, where: (MachineView) -> Boolean = { true }): Boolean {
         val usable = { room: Room ->
             visits++
-            allowed(room.of, spec) && zoneAllows(spec, zones, room.of.zone) && where(room.of)
+            allowed(room.of, spec) && spec.zoneAllows(zones, room.of.zone) && where(room.of)
         }
         val room = leaving.firstOrNull { spec.need.fitsIn(it.free + it.leaving) && usable(it) } ?: stopFor(spec, usable) ?: return false
         // What is free there now is spoken for as well: nobody less important may take it meanwhile.
--- a/src/main/kotlin/org/elderhitch/settings/Settings.kt
+++ b/src/main/kotlin/org/elderhitch/settings/Settings.kt
@@ -44,7 +44,17 @@
     val gangWait: Duration,
     val gangPeer: Duration,
     val cancel: Duration,
-)
+) {
+    /** The longest that a worker leaves between two reports: they come a quarter early or late. */
+    public val reportAtLatest: Duration get() = report * REPORT_SPREAD
+
+    public companion object {
+        private const val REPORT_SPREAD = 1.25
+
+        /** Workers wait so long for the answer to a report. */
+        public val ANSWER_WAIT: Duration = 4.seconds
+    }
+}
 
 public data class StateLimits(val requestsPerS: Double, val writesPerS: Double, val valueBytes: Int, val txnOps: Int)
 
--- a/src/main/kotlin/org/elderhitch/workers/Consolidation.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Consolidation.kt
@@ -50,11 +50,10 @@
             val inZones = zones.getOrPut(job) { HashMap(job.zones()) }
             inZones.merge(p.zone, -1, Int::plus)
             val target = others.firstOrNull { other ->
-                val type = catalog.types[other.type]
-                val room = free[other.id] ?: type?.let { has -> other.placements.values.fold(has.resources) { left, q -> left - (table.jobs[q.task.job]?.spec?.need ?: has.resources) } }
-                type != null && room != null && job.spec.need.fitsIn(room) && job.spec.image in other.cachedImages(type.cacheGb) &&
-                    (job.spec.types == null || other.type in job.spec.types) && (job.spec.zone == null || other.zone == job.spec.zone) &&
-                    (if (job.spec.oneZone) other.zone == p.zone else (inZones[other.zone] ?: 0) < job.spec.mostInOneZone).also { free[other.id] = room }
+                val type = catalog.types[other.type] ?: return@firstOrNull false
+                val zoneAllows = if (job.spec.oneZone) other.zone == p.zone else job.spec.zoneAllows(inZones, other.zone)
+                zoneAllows && job.spec.mayUse(other.type, other.zone, other.spot) && job.spec.image in other.cachedImages(type.cacheGb) &&
+                    job.spec.need.fitsIn(free.getOrPut(other.id) { freeOn(other, type.resources) })
             } ?: return false
             inZones.merge(target.zone, 1, Int::plus)
             free[target.id] = (free[target.id] ?: return false) - job.spec.need
@@ -62,6 +61,9 @@
         return true
     }
 
+    private fun freeOn(worker: WorkerState, has: Resources): Resources =
+        worker.placements.values.fold(has) { left, p -> left - (table.jobs[p.task.job]?.spec?.need ?: has) }
+
     private companion object {
         /** A start counts once a task has run for half a minute; and what has run for long runs on for long, mostly. */
         val SETTLED = 60.seconds
--- a/src/main/kotlin/org/elderhitch/workers/Foreman.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Foreman.kt
@@ -284,7 +284,7 @@
         // Late reports tell what was: answering one would renew nothing, and believing one would free a task.
         if (order != null && report.order <= order) {
             // But one that a command to the worker's own address has overtaken is no late one: it waits for its answer.
-            if (report.order.session < order.session || now - worker.calledAt > CALLED_LATELY) return ReportAnswer.Elsewhere(null)
+            if (report.order.session < order.session || now - worker.calledAt > WorkerTimes.ANSWER_WAIT) return ReportAnswer.Elsewhere(null)
             worker.lastAnswer = now
             return ReportAnswer.Accepted(leading.term, emptyList())
         }
@@ -562,8 +562,6 @@
         /** A call costs a connection; a report that is due sooner carries the commands for nothing. */
         val WORTH_CALLING = 1.seconds
 
-        /** Workers wait so long for an answer to a report. */
-        val CALLED_LATELY = 4.seconds
         const val ATTEMPTS_PER_TERM_BITS = 24
         const val MAX_BATCHES = 64
         val SAVE_MARGIN = 1.seconds
--- a/src/main/kotlin/org/elderhitch/workers/Inquiry.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Inquiry.kt
@@ -18,7 +18,7 @@
     workerTimes: WorkerTimes,
     private val ports: ForemanPorts,
 ) {
-    private val overdueAfter: Duration = workerTimes.report * REPORT_SPREAD + LATE
+    private val overdueAfter: Duration = workerTimes.reportAtLatest + LATE
     private val asked = HashMap<MachineId, Moment>()
     private val addresses = HashMap<MachineId, Address>()
     private var listed: Set<MachineId>? = null
@@ -64,7 +64,6 @@
     }
 
     private companion object {
-        const val REPORT_SPREAD = 1.25
         val LATE = 500.milliseconds
         val AGAIN = 3.seconds
     }
--- a/src/main/kotlin/org/elderhitch/workers/RoundFeed.kt
+++ b/src/main/kotlin/org/elderhitch/workers/RoundFeed.kt
@@ -42,7 +42,7 @@
         val machines = ArrayList<MachineView>()
         for (worker in table.workers.values) {
             if (!usable(worker)) continue
-            if (worker.forgive(now)) worker.changed()
+            worker.forgive(now)
             (worker.view ?: view(worker, catalog)?.also { worker.view = it })?.let(machines::add)
         }
         return RoundInput(machines, views, quota, keptFree, wholeMachines = table.jobs.values.any { it.isGang })
@@ -71,13 +71,13 @@
         }
         return MachineView(
             worker.id, worker.type, worker.zone, worker.spot, worker.cachedImages(type.cacheGb), free, leaving, victims,
-            worker.shunnedBy, lasting(worker), (type.resources.gpus + type.resources.cpus) / 2, worker.placements.isEmpty(), type.fetchGbPerS,
+            worker.shunnedBy, lasting(worker), type.resources.weight / 2, worker.placements.isEmpty(), type.fetchGbPerS,
             fetching,
         )
     }
 
     private fun lasting(worker: WorkerState): Double = worker.placements.values.sumOf { p ->
-        table.jobs[p.task.job]?.takeIf { it.spec.kind == JobKind.SERVICE }?.spec?.weight ?: 0.0
+        table.jobs[p.task.job]?.takeIf { it.spec.kind == JobKind.SERVICE }?.spec?.need?.weight ?: 0.0
     }
 
     private fun jobView(job: JobState, leading: Tenure.Leading, settled: Boolean, now: Moment): JobView? {
--- a/src/main/kotlin/org/elderhitch/workers/Silence.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Silence.kt
@@ -43,8 +43,8 @@
 
     /** A worker silent for so long gets nothing new. */
     val suspectAfter: Duration = workerTimes.report * 2.5 + 500.milliseconds
-    private val releaseAfter = workerTimes.report * REPORT_SPREAD + RESPONSE_TIMEOUT + NEXT_NODE * 2.0
-    private val overdueAfter = workerTimes.report * REPORT_SPREAD + LATE
+    private val releaseAfter = workerTimes.reportAtLatest + WorkerTimes.ANSWER_WAIT + NEXT_NODE * 2.0
+    private val overdueAfter = workerTimes.reportAtLatest + LATE
     private val quietTicks = HashMap<Zone, Int>()
     var cutZones: Set<Zone> = emptySet()
         private set
@@ -100,7 +100,7 @@
         for ((zone, hearing) in zones) {
             val ticks = quietTicks.merge(zone, 1, Int::plus) ?: 1
             val workers = hearing.heard + hearing.silent
-            val longest = QUIET_MARGIN + workerTimes.report * minOf(REPORT_SPREAD, QUIET_REPORTS / workers)
+            val longest = QUIET_MARGIN + minOf(workerTimes.reportAtLatest, workerTimes.report * (QUIET_REPORTS / workers))
             if (workers >= CUT_LEAST && tick * ticks > longest) quiet.add(zone)
         }
         return quiet
@@ -132,7 +132,7 @@
      * leader is cut off with them, and keeps them running; nor shortly before their leases end.
      */
     private fun patience(machine: MachineId, zone: Zone, settled: Boolean, leading: Tenure.Leading, now: Moment): Duration {
-        if (inquiry.isUnreachable(machine) && zone !in doubtfulZones) return workerTimes.report * REPORT_SPREAD
+        if (inquiry.isUnreachable(machine) && zone !in doubtfulZones) return workerTimes.reportAtLatest
         if (zone !in cutZones) return releaseAfter
         val keptRunning = leading.former?.let { zoneOf[it.node] } == zone
         return if (settled || takeover.settled || keptRunning || takeover.endsWithin(workerTimes.lease, now)) CUT_PATIENCE else releaseAfter
@@ -146,10 +146,8 @@
     private companion object {
         // A report may be a quarter late; its answer may be lost, which the worker notes after 4 s; and then it asks
         // the next node a second later, which may send it back here.
-        const val REPORT_SPREAD = 1.25
-        val RESPONSE_TIMEOUT = 4.seconds
-        val LATE = 300.milliseconds
         val NEXT_NODE = 1.seconds
+        val LATE = 300.milliseconds
         val UNLISTED_PATIENCE = 2.seconds
         val UNHEARD_MARGIN = 3.seconds
         val RELEASE_AGAIN = 5.seconds
--- a/src/main/kotlin/org/elderhitch/workers/WorkerState.kt
+++ b/src/main/kotlin/org/elderhitch/workers/WorkerState.kt
@@ -114,8 +114,10 @@
         changed()
     }
 
-    /** True if a job may come back that could not before. */
-    fun forgive(now: Moment): Boolean = shuns.isNotEmpty() && shuns.values.removeAll { it < now }
+    /** Lets jobs come back whose time elsewhere is over. */
+    fun forgive(now: Moment) {
+        if (shuns.isNotEmpty() && shuns.values.removeAll { it < now }) changed()
+    }
 
     /** Images by last use, the latest last; what the machine most likely keeps. */
     private val images = LinkedHashMap<Image, Double>()
