--- a/src/main/kotlin/org/elderhitch/app/Controller.kt
+++ b/src/main/kotlin/org/elderhitch/app/Controller.kt
@@ -15,6 +15,7 @@
 import org.elderhitch.fleet.FleetPolicy
 import org.elderhitch.fleet.FleetPorts
 import org.elderhitch.fleet.Renter
+import org.elderhitch.http.Address
 import org.elderhitch.http.Handler
 import org.elderhitch.http.Request
 import org.elderhitch.http.Response
@@ -46,12 +47,14 @@
 import org.elderhitch.store.Write
 import org.elderhitch.time.Moment
 import org.elderhitch.time.SteadyClock
+import org.elderhitch.workers.Command
 import org.elderhitch.workers.FinishedBatch
 import org.elderhitch.workers.Foreman
 import org.elderhitch.workers.ForemanMessage
 import org.elderhitch.workers.ForemanPorts
 import org.elderhitch.workers.ImageHints
 import org.elderhitch.workers.MachineId
+import org.elderhitch.workers.WorkerLine
 
 /** One controller: its slices, and who tells whom what. Clock, random numbers and network come from outside. */
 public class Controller(
@@ -82,6 +85,7 @@
     private val cloud = CloudClient(transport, settings.cloud, RateBudget(clock, settings.cloudLimits.requestsPerS * CLOUD_SHARE))
     private val foreman: Foreman = Foreman(scope, times, settings.workers, settings.teams, clock, foremanPorts())
     private val renter: Renter = Renter(scope, cloud, client, policy, instantClasses(), settings.cloudLimits.listLag, clock, fleetPorts())
+    private val line = WorkerLine(transport)
     private val recorder = Recorder(client, book, settings.stateLimits.txnOps)
     private val catalog: CatalogKeeper = CatalogKeeper(scope, cloud, client, settings.stateLimits.valueBytes, ::catalogIs)
     private val feed: Feed = Feed(scope, client, clock, feedListener())
@@ -202,6 +206,16 @@
             }
         }
 
+        override fun command(tenure: Tenure.Leading, to: Address, machine: MachineId, session: Long, commands: List<Command>) {
+            scope.launch {
+                val outcome = line.send(to, tenure.term, session, commands) {
+                    (leadership.tenure.value as? Tenure.Leading)?.let { it.term == tenure.term && it.mayCommand(clock.now()) } ?: false
+                }
+                val starts = commands.filterIsInstance<Command.Start>().map { it.task to it.attempt }.toSet()
+                foreman.tell(ForemanMessage.Commanded(tenure.term, machine, session, starts, outcome))
+            }
+        }
+
         override fun running(counts: Map<JobId, Int>) {
             running = counts
             book.tell(JobMessage.Running(counts))
--- a/src/main/kotlin/org/elderhitch/http/HttpClient.kt
+++ b/src/main/kotlin/org/elderhitch/http/HttpClient.kt
@@ -19,7 +19,9 @@
     private val clock: SteadyClock,
     private val limits: Limits = Limits(headers = 16 * 1024, body = 16 * 1024 * 1024),
 ) : Transport {
-    private class Connection(val channel: AsynchronousSocketChannel, val parser: MessageParser, var usedAt: Moment)
+    private class Connection(val channel: AsynchronousSocketChannel, val parser: MessageParser, var usedAt: Moment) {
+        var reusable = false
+    }
 
     private val log = LoggerFactory.getLogger("elderhitch.http")
     private val idle = HashMap<Address, ArrayDeque<Connection>>()
@@ -50,6 +52,26 @@
         }
     }
 
+    override suspend fun deliver(to: Address, method: String, target: String, body: ByteArray?, connect: Duration, timeout: Duration): Delivery {
+        val connection = try {
+            withTimeoutOrNull(connect) { connect(to) } ?: return Delivery.NotSent
+        } catch (e: IOException) {
+            log.debug("no connection to {}: {}", to, e.message)
+            return Delivery.NotSent
+        }
+        return try {
+            withTimeoutOrNull(timeout) { Delivery.Answered(converse(connection, request(to, method, target, body, last = true))) } ?: Delivery.Unknown
+        } catch (e: IOException) {
+            log.debug("no answer from {} for {}: {}", to, target, e.message)
+            Delivery.Unknown
+        } catch (e: BadMessage) {
+            log.info("malformed answer from={} reason=\"{}\"", to, e.message)
+            Delivery.Unknown
+        } finally {
+            connection.channel.closeQuietly()
+        }
+    }
+
     private fun keptConnection(to: Address): Connection? {
         val list = idle[to] ?: return null
         val oldest = clock.now() - KEPT
@@ -72,31 +94,36 @@
         return Connection(channel, MessageParser(limits, isResponse = true), clock.now())
     }
 
-    private fun request(to: Address, method: String, target: String, body: ByteArray?): ByteArray {
+    private fun request(to: Address, method: String, target: String, body: ByteArray?, last: Boolean = false): ByteArray {
         val head = StringBuilder(HEAD_SIZE).append(method).append(' ').append(target).append(" HTTP/1.1\r\nHost: ").append(to.text)
             .append("\r\n")
         if (body != null) head.append("Content-Type: application/json\r\nContent-Length: ").append(body.size).append("\r\n")
+        if (last) head.append("Connection: close\r\n")
         head.append("\r\n")
         return head.toString().toByteArray(Charsets.ISO_8859_1) + (body ?: ByteArray(0))
     }
 
+    private suspend fun converse(connection: Connection, sent: ByteArray): Response {
+        connection.channel.writeAll(ByteBuffer.wrap(sent))
+        val buffer = ByteBuffer.allocate(BUFFER)
+        while (true) {
+            buffer.clear()
+            if (connection.channel.readInto(buffer) < 0) throw IOException("closed before the answer was complete")
+            val (taken, message) = connection.parser.feed(buffer.array(), 0, buffer.position())
+            if (message != null) {
+                connection.reusable = message.keepAlive && taken == buffer.position()
+                return MessageParser.response(message)
+            }
+        }
+    }
+
     private suspend fun exchange(to: Address, connection: Connection, sent: ByteArray): Response {
-        var keep = false
+        connection.reusable = false
         try {
-            connection.channel.writeAll(ByteBuffer.wrap(sent))
-            val buffer = ByteBuffer.allocate(BUFFER)
-            while (true) {
-                buffer.clear()
-                if (connection.channel.readInto(buffer) < 0) throw IOException("closed before the answer was complete")
-                val (taken, message) = connection.parser.feed(buffer.array(), 0, buffer.position())
-                if (message != null) {
-                    keep = message.keepAlive && taken == buffer.position()
-                    return MessageParser.response(message)
-                }
-            }
+            return converse(connection, sent)
         } finally {
             val list = idle.getOrPut(to) { ArrayDeque() }
-            if (keep && list.size < KEPT_PER_ADDRESS) {
+            if (connection.reusable && list.size < KEPT_PER_ADDRESS) {
                 connection.usedAt = clock.now()
                 list.addLast(connection)
             } else {
--- a/src/main/kotlin/org/elderhitch/http/Messages.kt
+++ b/src/main/kotlin/org/elderhitch/http/Messages.kt
@@ -41,8 +41,23 @@
     public suspend fun handle(request: Request): Response
 }
 
-/** What carries requests to other processes. Null: no answer, and nobody knows whether it was carried out. */
+/** What became of a request that must not be carried out unnoticed. */
+public sealed interface Delivery {
+    public class Answered(public val response: Response) : Delivery
+
+    /** No connection came about, so the request was never sent, and never will be. */
+    public data object NotSent : Delivery
+
+    /** Perhaps carried out, perhaps later. */
+    public data object Unknown : Delivery
+}
+
+/** What carries requests to other processes. */
 public interface Transport {
+    /** A request over a connection of its own: for peers that are many and rarely called. */
+    public suspend fun deliver(to: Address, method: String, target: String, body: ByteArray?, connect: Duration, timeout: Duration): Delivery
+
+    /** Null: no answer, and nobody knows whether it was carried out. */
     public suspend fun call(
         to: Address,
         method: String,
--- a/src/main/kotlin/org/elderhitch/standin/StandInPlatform.kt
+++ b/src/main/kotlin/org/elderhitch/standin/StandInPlatform.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.elderhitch.http.Address
+import org.elderhitch.http.Handler
 import org.elderhitch.http.Transport
 import org.elderhitch.jobs.JobId
 import org.elderhitch.json.JsonObject
@@ -28,6 +29,8 @@
     perZone: Int,
     boot: Duration,
     private val watch: TaskWatch,
+    /** Where a machine's worker takes commands; empty: nowhere. */
+    private val addressOf: (StandInMachine) -> String = { "" },
 ) {
     public val state: StateStandIn = StateStandIn(clock)
     public val cloud: CloudStandIn = CloudStandIn(clock, zones, perZone, boot, ::boot, ::gone)
@@ -44,6 +47,7 @@
     }
 
     private fun boot(machine: StandInMachine) {
+        machine.address = addressOf(machine)
         val worker = WorkerStandIn(machine, nodes, transport, times, clock, random, ::script, watch)
         workers[machine.id] = worker to scope.launch { worker.run() }
     }
@@ -54,6 +58,9 @@
         job.cancel()
     }
 
+    /** What answers at a worker's own address. */
+    public fun workerAt(address: Address): Handler? = workers.values.firstOrNull { (worker, _) -> worker.address == address.text }?.first
+
     /** The machine stops, with all that is on it, and its worker falls silent. */
     public fun kill(machine: String) {
         cloud.machines().firstOrNull { it.id == machine }?.let {
--- a/src/main/kotlin/org/elderhitch/standin/WorkerStandIn.kt
+++ b/src/main/kotlin/org/elderhitch/standin/WorkerStandIn.kt
@@ -2,6 +2,10 @@
 
 import kotlinx.coroutines.delay
 import org.elderhitch.http.Address
+import org.elderhitch.http.Handler
+import org.elderhitch.http.HttpServer
+import org.elderhitch.http.Request
+import org.elderhitch.http.Response
 import org.elderhitch.http.Transport
 import org.elderhitch.json.Json
 import org.elderhitch.json.JsonObject
@@ -34,7 +38,7 @@
     private val random: Random,
     private val script: (String) -> TaskScript?,
     private val watch: TaskWatch,
-) {
+) : Handler {
     private class Task(val id: String, val attempt: Long) {
         var phase = "fetching"
         var cause: String? = null
@@ -50,6 +54,8 @@
     private var changed = false
     private var node = nodes.keys.elementAt(random.nextInt(nodes.size))
 
+    public val address: String get() = machine.address
+
     public var gone: Boolean = false
         private set
 
@@ -90,6 +96,23 @@
         }
     }
 
+    /** Commands straight to the worker's own address. */
+    override suspend fun handle(request: Request): Response {
+        if (request.path == "/inspect") return Response(OK, report())
+        val body = try {
+            Json.parseObject(request.body)
+        } catch (_: MalformedJson) {
+            return HttpServer.refusal(BAD, "not JSON")
+        }
+        val given = body.longOrNull("gavel")
+        val shift = body.longOrNull("shift")
+        if (given == null || shift == null) return HttpServer.refusal(BAD, "gavel or shift is missing")
+        if (given < token || shift != session) return Response(CONFLICT, report())
+        token = given
+        for (command in body.objects("calls")) execute(command)
+        return Response(OK, report())
+    }
+
     private suspend fun moveOn() {
         delay(1.seconds)
         val names = nodes.keys.toList()
@@ -163,6 +186,8 @@
 
     private companion object {
         const val OK = 200
+        const val BAD = 400
+        const val CONFLICT = 409
         const val MISDIRECTED = 421
         const val LEAST = 0.75
         const val SPREAD = 0.5
--- a/src/main/kotlin/org/elderhitch/workers/Foreman.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Foreman.kt
@@ -8,6 +8,7 @@
 import org.elderhitch.fleet.Catalog
 import org.elderhitch.fleet.FleetMessage
 import org.elderhitch.fleet.Machine
+import org.elderhitch.http.Address
 import org.elderhitch.jobs.FinishedTasks
 import org.elderhitch.jobs.Image
 import org.elderhitch.jobs.JobEvent
@@ -69,6 +70,15 @@
     /** Room that less important work leaves alone. */
     public data class KeepFree(val kept: List<KeptFree>) : ForemanMessage
     public data class Recorded(val term: Term, val finished: Map<JobId, List<Int>>) : ForemanMessage
+
+    /** What became of commands sent to a worker's own address. */
+    public data class Commanded(
+        val term: Term,
+        val machine: MachineId,
+        val session: Long,
+        val starts: Set<Pair<TaskId, Attempt>>,
+        val outcome: CommandOutcome,
+    ) : ForemanMessage
     public data object Tick : ForemanMessage
 }
 
@@ -86,6 +96,9 @@
     /** Leaves word of the images on machines for a later term. */
     public fun hint(tenure: Tenure.Leading, images: Map<MachineId, Map<Image, Double>>)
 
+    /** Sends commands to a worker's own address; what becomes of them comes back as [ForemanMessage.Commanded]. */
+    public fun command(tenure: Tenure.Leading, to: Address, machine: MachineId, session: Long, commands: List<Command>)
+
     public fun running(counts: Map<JobId, Int>)
 }
 
@@ -104,7 +117,7 @@
 public class Foreman(
     scope: CoroutineScope,
     private val times: TenureTimes,
-    workerTimes: WorkerTimes,
+    private val workerTimes: WorkerTimes,
     teams: Map<TeamName, Team>,
     private val clock: SteadyClock,
     private val ports: ForemanPorts,
@@ -172,6 +185,7 @@
             is ForemanMessage.FormerStopped -> if (message.term == term()) takeover.formerStopped()
             is ForemanMessage.KeepFree -> keptFree = message.kept
             is ForemanMessage.Recorded -> recorded(message)
+            is ForemanMessage.Commanded -> commanded(message)
             ForemanMessage.Tick -> tick()
         }
     }
@@ -246,7 +260,12 @@
         val worker = table.workers.getOrPut(report.machine) { worker(report, now) }
         val order = worker.order
         // Late reports tell what was: answering one would renew nothing, and believing one would free a task.
-        if (order != null && report.order <= order) return ReportAnswer.Elsewhere(null)
+        if (order != null && report.order <= order) {
+            // But one that a command to the worker's own address has overtaken is no late one: it waits for its answer.
+            if (report.order.session < order.session || now - worker.calledAt > CALLED_LATELY) return ReportAnswer.Elsewhere(null)
+            worker.lastAnswer = now
+            return ReportAnswer.Accepted(leading.term, emptyList())
+        }
         heard(worker, report, now)
         // It may still execute an earlier leader's command; its list counts once it has seen our term. And without the
         // jobs its tasks can't be judged: it is kept, and its next report is.
@@ -256,7 +275,7 @@
         }
         settle(worker, report)
         // Room that this report brings is given away in its own answer: the next report may be seconds off.
-        if (table.dirty && leading.mayCommand(now) && now > roundAgain) round(leading, now)
+        if (table.dirty && leading.mayCommand(now) && now > roundAgain) round(leading, now, answering = worker)
         val commands = if (leading.mayCommand(now)) commands.of(worker, now) else emptyList()
         worker.lastAnswer = now
         return ReportAnswer.Accepted(leading.term, commands)
@@ -268,7 +287,13 @@
         }
 
     private fun heard(worker: WorkerState, report: Report, now: Moment) {
+        if (worker.order.let { it != null && it.session < report.order.session }) {
+            // Commands to its own address name the session: those of an earlier one are never executed now.
+            worker.loose.clear()
+            worker.placements.values.forEach { it.onItsWay = false }
+        }
         worker.order = report.order
+        worker.unreachable = false
         worker.lastReport = now
         worker.address = report.address
         if (report.notice != null && worker.notice == null) {
@@ -295,6 +320,57 @@
         checkTakeover()
     }
 
+    // ---- commands to workers' own addresses --------------------------------------------------------------------
+
+    /**
+     * Sends what was decided to workers whose next report is not due soon. In an answer it would be as safe and cheaper,
+     * but a task would wait for half a report's time, and an intent that is older than a round's budget is dropped.
+     */
+    private fun sendUrgent(leading: Tenure.Leading, now: Moment, answering: WorkerState?) {
+        val workers = table.undelivered.iterator()
+        while (workers.hasNext()) {
+            val worker = workers.next()
+            val address = worker.address
+            val session = worker.order?.session
+            if (worker === answering || worker.calling) continue
+            if (address == null || session == null || worker.unreachable || worker.lastReport + workerTimes.report - now < WORTH_CALLING) continue
+            workers.remove()
+            val urgent = commands.urgent(worker, now)
+            if (urgent.isEmpty()) continue
+            worker.calling = true
+            ports.command(leading, address, worker.id, session, urgent)
+        }
+    }
+
+    private fun commanded(message: ForemanMessage.Commanded) {
+        if (message.term != term()) return
+        val now = clock.now()
+        val worker = table.workers[message.machine] ?: return
+        worker.calling = false
+        worker.calledAt = now
+        if (worker.order?.session != message.session) return
+        val outcome = message.outcome
+        if (outcome == CommandOutcome.Unknown) {
+            // Bound to this worker until it shows them, or its session ends; each answer to it repeats them.
+            log.info("start unanswered machine={} starts={}", worker.id, message.starts.size)
+            return
+        }
+        worker.loose.removeAll(message.starts)
+        val placements = message.starts.mapNotNull { (task, attempt) -> worker.placements[task]?.takeIf { it.attempt == attempt } }
+        placements.forEach { it.onItsWay = false }
+        if (outcome is CommandOutcome.Executed) {
+            val report = outcome.report
+            if (report.machine == worker.id && report.term == message.term && worker.order.let { it == null || report.order > it }) {
+                heard(worker, report, now)
+                settle(worker, report)
+            }
+            return
+        }
+        if (outcome == CommandOutcome.Unreachable) worker.unreachable = true
+        // Unless an answer to a report brought the same start: then the next report tells.
+        for (p in placements) if (p.certainty == Certainty.SENT && !p.answered) table.jobs[p.task.job]?.let { table.remove(it, p) }
+    }
+
     private fun machineGone(id: MachineId, proof: String) {
         known.remove(id)
         cleared.remove(id)
@@ -348,7 +424,7 @@
         }
     }
 
-    private fun round(leading: Tenure.Leading, now: Moment) {
+    private fun round(leading: Tenure.Leading, now: Moment, answering: WorkerState? = null) {
         if (catalog.isEmpty) return
         table.dirty = false
         lastRound = now
@@ -363,6 +439,9 @@
             log.info("task stopped for room task={} machine={}", task, p.worker.id)
             table.stop(job, p, if (job.spec.saves) job.spec.saveTakes + SAVE_MARGIN else Duration.ZERO)
         }
+        // A round that took longer than its budget sends nothing, and neither does a leader whose window has closed.
+        val decided = clock.now()
+        if (leading.mayCommand(decided) && decided - now < times.roundBudget) sendUrgent(leading, decided, answering)
         if (now - lastDemand > DEMAND_EVERY) {
             lastDemand = now
             ports.fleet(FleetMessage.Demand(output.unplaced, demand.uses(catalog, now, usable), demand.services(), takeover.settled))
@@ -395,7 +474,7 @@
     }
 
     private fun usable(worker: WorkerState, now: Moment): Boolean =
-        worker.settled && worker.notice == null && !worker.sick && worker.id in cleared &&
+        worker.settled && worker.notice == null && !worker.sick && !worker.unreachable && worker.id in cleared &&
             now - worker.lastReport <= silence.suspectAfter && worker.releaseAsked == Moment.NEVER
 
     private fun assign(task: TaskId, machine: MachineId, join: Attempt?, now: Moment) {
@@ -424,6 +503,12 @@
         val COUNTS_EVERY = 1.seconds
         val HINT_EVERY = 10.seconds
         val CLEAR_AGAIN = 2.seconds
+
+        /** A call costs a connection; a report that is due sooner carries the commands for nothing. */
+        val WORTH_CALLING = 1.seconds
+
+        /** Workers wait so long for an answer to a report. */
+        val CALLED_LATELY = 4.seconds
         const val ATTEMPTS_PER_TERM_BITS = 24
         const val MAX_BATCHES = 64
         val SAVE_MARGIN = 1.seconds
--- a/src/main/kotlin/org/elderhitch/workers/Reconciler.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Reconciler.kt
@@ -24,7 +24,7 @@
             if (task.task.index < job.spec.tasks) reconcile(worker, job, task)
         }
         for (p in worker.placements.values.toList()) {
-            if (p.task in seen || p.certainty == Certainty.ASSIGNED) continue
+            if (p.task in seen || p.certainty == Certainty.ASSIGNED || p.onItsWay) continue
             // Reports come one at a time: this one was sent after the answer with the start was taken or given up.
             table.jobs[p.task.job]?.let { table.remove(it, p) } ?: forgotten(worker, p)
         }
--- a/src/main/kotlin/org/elderhitch/workers/Report.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Report.kt
@@ -106,6 +106,9 @@
     public fun encode(term: Term, commands: List<Command>): ByteArray =
         Json.bytes(linkedMapOf("gavel" to term.number, "calls" to commands.map(::command)))
 
+    public fun encodeDirect(term: Term, session: Long, commands: List<Command>): ByteArray =
+        Json.bytes(linkedMapOf("gavel" to term.number, "shift" to session, "calls" to commands.map(::command)))
+
     private fun command(command: Command): Map<String, Any?> {
         val task = command.task.toString()
         val attempt = command.attempt.number
--- a/src/main/kotlin/org/elderhitch/workers/TaskTable.kt
+++ b/src/main/kotlin/org/elderhitch/workers/TaskTable.kt
@@ -11,12 +11,16 @@
     val jobs = LinkedHashMap<JobId, JobState>()
     val workers = HashMap<MachineId, WorkerState>()
 
+    /** Workers with a start or a stop that they have not been sent. */
+    val undelivered = LinkedHashSet<WorkerState>()
+
     /** Something changed that a round could make use of. */
     var dirty = true
 
     /** A new term starts from nothing but the jobs: what runs where is for the workers to say. */
     fun newTerm() {
         workers.clear()
+        undelivered.clear()
         for (job in jobs.values) {
             job.placements.clear()
             job.done.addAll(job.finished)
@@ -31,6 +35,7 @@
         job.placements[task.index] = placement
         worker.placements[task] = placement
         worker.changed()
+        if (certainty == Certainty.ASSIGNED) undelivered.add(worker)
         return placement
     }
 
@@ -40,6 +45,7 @@
         } else if (placement.stop.let { it == null || grace < it }) {
             placement.stop = grace
             placement.worker.changed()
+            undelivered.add(placement.worker)
         }
     }
 
--- a/src/main/kotlin/org/elderhitch/workers/WorkerState.kt
+++ b/src/main/kotlin/org/elderhitch/workers/WorkerState.kt
@@ -38,6 +38,15 @@
     /** Told to stop, with this grace; a withdrawal may still cut a saving short. */
     var stop: Duration? = null
 
+    /** The start was sent to the worker's own address and is not answered yet: it may be executed at any time. */
+    var onItsWay: Boolean = false
+
+    /** The start was sent in an answer to a report too. */
+    var answered: Boolean = false
+
+    /** The stop has been sent at least once. */
+    var stopSent: Boolean = false
+
     /** When it was first seen running; null: it has not been. */
     var runsSince: Moment? = null
 
@@ -67,6 +76,16 @@
     var releaseAsked: Moment = Moment.NEVER
     var clearAsked: Moment = Moment.NEVER
 
+    /** A command to its own address is not answered yet. */
+    var calling: Boolean = false
+    var calledAt: Moment = Moment.NEVER
+
+    /** It took no connection since its last report. */
+    var unreachable: Boolean = false
+
+    /** Starts sent to its own address that nobody answered: each may still be executed, or executed once more. */
+    val loose: HashSet<Pair<TaskId, Attempt>> = HashSet()
+
     /** As rounds see the machine; null: it changed since the last one. */
     var view: MachineView? = null
 
--- a/src/test/kotlin/org/elderhitch/store/LossyNet.kt
+++ b/src/test/kotlin/org/elderhitch/store/LossyNet.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.elderhitch.http.Address
+import org.elderhitch.http.Delivery
 import org.elderhitch.http.Handler
 import org.elderhitch.http.Message
 import org.elderhitch.http.MessageParser
@@ -42,6 +43,9 @@
         }
     }
 
+    override suspend fun deliver(to: Address, method: String, target: String, body: ByteArray?, connect: Duration, timeout: Duration): Delivery =
+        call(to, method, target, body, timeout)?.let { Delivery.Answered(it) } ?: Delivery.Unknown
+
     private companion object {
         const val LATEST_MS = 20_000L
         const val SLOW_MS = 8L
