A woken leader misses no intents of its successors; returned machines leave theirs

A leader that stood still reads its successors' intents before it reads that it leads no more, so in its next term it missed machines with tasks on them, called the takeover settled, and started their tasks again. What the state service holds is now mirrored in every role, and each term starts from that mirror.

Intents are now shortened, one every 0.5 s at most.

Ruled out: the cloud's list (it didn't name them), workers' silence (nobody was asked).

--- a/src/main/kotlin/org/elderhitch/fleet/HireIntent.kt
+++ b/src/main/kotlin/org/elderhitch/fleet/HireIntent.kt
@@ -15,8 +15,19 @@
     var cameUp = HashSet<MachineId>()
     var writingUp = false
     var busy = false
+
+    /** Names machines that are gone; its value in the state service is to be written anew. */
+    var outdated = false
     var retryAt = Moment.NEVER
 
+    /** Leaves out what is not [there] any more. */
+    fun shorten(there: (MachineId) -> Boolean) {
+        machines = machines?.filter(there)
+        up.retainAll(there)
+        cameUp.retainAll(there)
+        outdated = false
+    }
+
     fun encode(): Map<String, Any?> = linkedMapOf<String, Any?>(
         "rig" to market.type.name,
         "hall" to market.zone.name,
--- a/src/main/kotlin/org/elderhitch/fleet/Renter.kt
+++ b/src/main/kotlin/org/elderhitch/fleet/Renter.kt
@@ -8,6 +8,7 @@
 import org.elderhitch.jobs.JobKind
 import org.elderhitch.jobs.JobSpec
 import org.elderhitch.jobs.MachineType
+import org.elderhitch.json.JsonObject
 import org.elderhitch.json.MalformedJson
 import org.elderhitch.leadership.LeadershipMessage
 import org.elderhitch.leadership.Tenure
@@ -102,6 +103,13 @@
     private val log = LoggerFactory.getLogger("elderhitch.fleet")
     private var tenure: Tenure = Tenure.Following(null, Term.NONE)
     private var catalog = Catalog.EMPTY
+    /**
+     * What the state service holds, in every role: a leader that stood still hears of its successors' intents before it
+     * hears that it leads no more. Not to take them then was to miss machines with tasks on them in its next term.
+     */
+    private val recorded = LinkedHashMap<String, JsonObject>()
+
+    /** What this term works with. */
     private val intents = LinkedHashMap<String, HireIntent>()
     private val held = HashMap<MachineId, Held>()
     private val closed = HashMap<Market, Moment>()
@@ -117,6 +125,7 @@
     private val boots = BootTimes()
     private var plannedAt = Moment.NEVER
     private var leadingSince = Moment.NEVER
+    private var shortenedAt = Moment.NEVER
 
     override fun start() {
         super.start()
@@ -132,11 +141,11 @@
 
     override fun receive(message: FleetMessage) {
         when (message) {
-            is FleetMessage.Snapshot -> if (leading() == null) {
-                intents.clear()
+            is FleetMessage.Snapshot -> {
+                recorded.clear()
                 message.entries.forEach(::put)
             }
-            is FleetMessage.Changed -> if (leading() == null || !complete) message.changes.forEach(::changed)
+            is FleetMessage.Changed -> message.changes.forEach(::changed)
             is FleetMessage.TenureIs -> tenureIs(message.tenure)
             is FleetMessage.TableComplete -> if (message.term == leading()?.term) tableComplete()
             is FleetMessage.JobOpened -> arrivals.add(message.spec, clock.now())
@@ -161,17 +170,20 @@
     private fun changed(change: Change) {
         when (change) {
             is Change.Put -> put(change.entry)
-            is Change.Drop -> (Keys.subject(change.key) as? Subject.Hire)?.let { intents.remove(it.name) }
+            is Change.Drop -> (Keys.subject(change.key) as? Subject.Hire)?.let { recorded.remove(it.name) }
         }
     }
 
     private fun put(entry: Entry) {
         val subject = Keys.subject(entry.key) as? Subject.Hire ?: return
-        try {
-            intents[subject.name] = HireIntent.decode(subject.name, entry.value)
-        } catch (e: MalformedJson) {
-            log.error("intent malformed key={} reason=\"{}\"", entry.key, e.message)
-        }
+        recorded[subject.name] = entry.value
+    }
+
+    private fun decoded(name: String, value: JsonObject): HireIntent? = try {
+        HireIntent.decode(name, value)
+    } catch (e: MalformedJson) {
+        log.error("intent malformed name={} reason=\"{}\"", name, e.message)
+        null
     }
 
     private fun tenureIs(next: Tenure) {
@@ -194,10 +206,9 @@
     private fun tableComplete() {
         complete = true
         val now = clock.now()
+        intents.clear()
+        for ((name, value) in recorded) decoded(name, value)?.let { intents[name] = it }
         for (intent in intents.values) {
-            intent.busy = false
-            intent.writingUp = false
-            intent.cameUp.clear()
             intent.machines?.forEach { hold(Machine(it, intent.market.type, intent.market.zone, intent.market.spot), intent.name, now) }
         }
         tick()
@@ -246,6 +257,8 @@
             intent.up.addAll(message.machines)
             intent.cameUp.removeAll(message.machines)
             message.machines.forEach { ports.foreman(ForemanMessage.MachineCleared(it)) }
+        } else {
+            intent.outdated = true
         }
         if (intent.cameUp.isNotEmpty()) writeUp(leading, intent)
     }
@@ -260,6 +273,7 @@
         for (intent in intents.values) {
             if (intent.machines == null && !intent.busy && now >= intent.retryAt) request(leading, intent)
         }
+        if (censusSent) shorten(leading, now)
         if (!listing && now - listedAt > LIST_EVERY) list(leading)
         if (now - plannedAt > PLAN_EVERY && censusSent && !catalog.isEmpty) {
             plannedAt = now
@@ -390,6 +404,7 @@
             request(leading, intent)
         } else {
             val now = clock.now()
+            intent.busy = false
             machines.forEach { hold(Machine(it, intent.market.type, intent.market.zone, intent.market.spot), intent.name, now) }
             if (intent.cameUp.isNotEmpty() && !intent.writingUp) writeUp(leading, intent)
         }
@@ -489,7 +504,19 @@
         ports.foreman(ForemanMessage.MachineGone(id, proof))
         val leading = leading() ?: return
         val intent = intents[was?.intent] ?: return
-        if (intent.machines.orEmpty().none { it in held }) forgetIntent(leading, intent)
+        if (intent.machines.orEmpty().none { it in held }) forgetIntent(leading, intent) else intent.outdated = true
+    }
+
+    /**
+     * Takes machines that are gone out of their intents, one intent at a time: the rest of the writes is for others. Left
+     * in, each takeover for the rest of the day waited for their word and returned them once more.
+     */
+    private fun shorten(leading: Tenure.Leading, now: Moment) {
+        if (now - shortenedAt < SHORTEN_EVERY) return
+        val intent = intents.values.firstOrNull { it.outdated && !it.busy && !it.writingUp } ?: return
+        shortenedAt = now
+        intent.shorten { it in held }
+        writeUp(leading, intent)
     }
 
     // ---- the cloud's list --------------------------------------------------------------------------------------
@@ -541,6 +568,7 @@
         val LIST_EVERY = 1500.milliseconds
         val LIST_RETRY = 1.seconds
         val LIST_MARGIN = 1.seconds
+        val SHORTEN_EVERY = 500.milliseconds
         val SETTLING = 8.seconds
         val HIRE_RETRY = 2.seconds
         val CLOSED_FIRST = 10.seconds
--- a/src/test/kotlin/org/elderhitch/app/World.kt
+++ b/src/test/kotlin/org/elderhitch/app/World.kt
@@ -1,7 +1,15 @@
 package org.elderhitch.app
 
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CancellableContinuation
+import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Delay
+import kotlinx.coroutines.DisposableHandle
+import kotlinx.coroutines.InternalCoroutinesApi
+import kotlinx.coroutines.Runnable
+import kotlin.coroutines.ContinuationInterceptor
+import kotlin.coroutines.CoroutineContext
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
@@ -51,6 +59,7 @@
     /** How long the answer to a report is on its way. */
     var slowAnswers: () -> Duration = { Duration.ZERO }
     private val running = HashMap<String, CoroutineScope>()
+    private val standstills = HashMap<String, Standstill>()
     private val controllers = HashMap<String, Controller>()
     val names = listOf("n0", "n1", "n2")
     val platform: StandInPlatform
@@ -81,7 +90,10 @@
     }
 
     fun startNode(name: String) {
-        val scope = CoroutineScope(test.backgroundScope.coroutineContext + SupervisorJob(test.backgroundScope.coroutineContext[Job]))
+        val context = test.backgroundScope.coroutineContext
+        val standstill = Standstill(context[ContinuationInterceptor] as CoroutineDispatcher)
+        standstills[name] = standstill
+        val scope = CoroutineScope(context + SupervisorJob(context[Job]) + standstill)
         running[name] = scope
         val controller = Controller(scope, settings(name), FleetPolicy(), net(name), clock, Random(random.nextLong()))
         controllers[name] = controller
@@ -90,7 +102,17 @@
         controller.start()
     }
 
+    /** The node stands still: nothing of it runs, while its clock does, and whatever comes for it waits. */
+    fun freeze(name: String) {
+        standstills[name]?.frozen = true
+    }
+
+    fun thaw(name: String) {
+        standstills[name]?.thaw()
+    }
+
     fun crash(name: String) {
+        standstills.remove(name)
         running.remove(name)?.cancel(CancellationException("crash"))
         controllers.remove(name)
         handlers.remove("$name:80")
@@ -207,3 +229,28 @@
         val LATENCY = 3.milliseconds
     }
 }
+
+/** Holds back all that a node would run while it stands still; timers that end meanwhile are due at once afterwards. */
+@OptIn(InternalCoroutinesApi::class, ExperimentalCoroutinesApi::class)
+class Standstill(private val inner: CoroutineDispatcher) : CoroutineDispatcher(), Delay {
+    private val timers = inner as Delay
+    private val waiting = ArrayDeque<Pair<CoroutineContext, Runnable>>()
+    var frozen = false
+
+    fun thaw() {
+        frozen = false
+        while (waiting.isNotEmpty()) waiting.removeFirst().let { (context, block) -> inner.dispatch(context, block) }
+    }
+
+    override fun dispatch(context: CoroutineContext, block: Runnable) {
+        if (frozen) waiting.addLast(context to block) else inner.dispatch(context, Runnable { if (frozen) waiting.addLast(context to block) else block.run() })
+    }
+
+    override fun scheduleResumeAfterDelay(timeMillis: Long, continuation: CancellableContinuation<Unit>) {
+        val handle = invokeOnTimeout(timeMillis, { with(continuation) { resumeUndispatched(Unit) } }, continuation.context)
+        continuation.invokeOnCancellation { handle.dispose() }
+    }
+
+    override fun invokeOnTimeout(timeMillis: Long, block: Runnable, context: CoroutineContext): DisposableHandle =
+        timers.invokeOnTimeout(timeMillis, { dispatch(context, block) }, context)
+}
