Guests leave room beside accelerators; jobs at fault are only probed; pauses are noticed

Once a job is known to be at fault its machines are open again; it gets one probe at growing intervals, and nothing is stopped, kept or rented for it.

Ruled out: late errors (all failures came within 0.5 s of the start), rounds (9 ms at most). Tests for each; the one for short pauses fails without the notice.

--- a/src/main/kotlin/org/elderhitch/app/Controller.kt
+++ b/src/main/kotlin/org/elderhitch/app/Controller.kt
@@ -85,7 +85,7 @@
     private val book: JobBook = JobBook(scope, ::jobEvent)
     private val leadership: Leadership = Leadership(scope, settings.node, incarnation, client, times, clock, random)
     private val cloud = CloudClient(transport, settings.cloud, RateBudget(clock, settings.cloudLimits.requestsPerS * CLOUD_SHARE))
-    private val foreman: Foreman = Foreman(scope, times, settings.workers, settings.teams, nodeZones(), clock, foremanPorts())
+    private val foreman: Foreman = Foreman(scope, times, settings.workers, settings.teams, settings.objectives, nodeZones(), clock, foremanPorts())
     private val renter: Renter = Renter(scope, cloud, client, policy, instantClasses(), settings.cloudLimits.listLag, clock, fleetPorts())
     private val line = WorkerLine(transport)
     private val recorder = Recorder(client, book, settings.stateLimits.txnOps)
--- a/src/main/kotlin/org/elderhitch/jobs/FinishedTasks.kt
+++ b/src/main/kotlin/org/elderhitch/jobs/FinishedTasks.kt
@@ -15,6 +15,16 @@
 
     public operator fun contains(index: Int): Boolean = bits[index]
 
+    /** The first task from [from] on that isn't finished; [tasks] or more if there is none. */
+    public fun firstMissing(from: Int): Int = bits.nextClearBit(from)
+
+    /** Those of these tasks that [other] lacks. */
+    public fun beyond(other: FinishedTasks): List<Int> {
+        val fresh = bits.clone() as BitSet
+        fresh.andNot(other.bits)
+        return fresh.stream().boxed().toList()
+    }
+
     public fun add(index: Int) {
         require(index in 0 until tasks) { "task $index of $tasks" }
         bits.set(index)
--- a/src/main/kotlin/org/elderhitch/placement/Round.kt
+++ b/src/main/kotlin/org/elderhitch/placement/Round.kt
@@ -11,6 +11,7 @@
 import org.elderhitch.quota.QuotaLedger
 import org.elderhitch.settings.Zone
 import org.elderhitch.store.Revision
+import org.elderhitch.time.Moment
 import org.elderhitch.workers.Attempt
 import org.elderhitch.workers.MachineId
 
@@ -30,8 +31,8 @@
     public val shunnedBy: Set<JobId>,
     /** What services take of it: they stay, while other tasks end by themselves. */
     public val lasting: Double,
-    /** What services take of it when they take half. */
-    public val half: Double,
+    /** All that a machine of its type has. */
+    public val whole: Resources,
     /** Nothing is on it: a gang could have it whole, or it could be returned. */
     public val empty: Boolean,
     public val fetchGbPerS: Double,
@@ -50,6 +51,10 @@
     public val zones: Map<Zone, Int>,
     /** Gang: the attempt that waits for replacements; null: the tasks start a new attempt together. */
     public val joinAttempt: Attempt?,
+    /** By when the deployment's aims want it started or done. */
+    public val due: Moment = Moment.FOREVER,
+    /** It failed wherever it was tried: it is tried where there is room, and nothing is stopped, kept or rented for it. */
+    public val probe: Boolean = false,
 )
 
 /** Room that production finds free at once, since stopping less important work for it would take too long. */
@@ -62,6 +67,8 @@
     public val keptFree: List<KeptFree> = emptyList(),
     /** There is work that needs machines whole, or nearly so. */
     public val wholeMachines: Boolean = false,
+    /** What the open jobs' tasks take, at most, beside each accelerator that they use. */
+    public val besideGpu: Resources = Resources.NONE,
 )
 
 public data class Placed(val task: TaskId, val machine: MachineId, val joinAttempt: Attempt?)
@@ -79,8 +86,8 @@
 
 /**
  * One placement round: what is known goes in, decisions come out. The most important jobs come first, work within a
- * team's guarantee before borrowed room, older jobs before younger ones; each task goes to the fullest machine that it
- * fits. Exceptions, in [detour]: a machine that lacks the image, and one that is empty, come later by as many seconds as
+ * team's guarantee before borrowed room, then those whose aims are due sooner, then older jobs before younger ones; each
+ * task goes to the fullest machine that it fits. Exceptions, in [detour]: a machine that lacks the image, and one that is empty, come later by as many seconds as
  * that costs; and for services a machine is as full as its services make it.
  *
  * Room only shrinks within a round, so that most of the fleet is never looked at twice: machines that are too full for
@@ -136,6 +143,7 @@
         }
         val order = compareByDescending<JobView> { it.spec.priority }
             .thenByDescending { input.quota.withinGuarantee(it.spec.team, it.spec.need) }
+            .thenBy { it.due }
             .thenBy { it.order }
         var kept = false
         for (job in input.jobs.sortedWith(order)) {
@@ -173,6 +181,21 @@
     private fun allowed(machine: MachineView, spec: JobSpec): Boolean =
         spec.mayUse(machine.type, machine.zone, machine.spot) && spec.id !in machine.shunnedBy
 
+    /**
+     * Tasks without accelerators leave what the free accelerators of a machine need beside them. A guest's thousands of
+     * small tasks filled the processors of all machines, and the accelerators stood idle: room for one larger task never
+     * came together, since each small one that ended was followed by another. Tasks too large for what is left of an empty
+     * machine are exempt, or they would never run.
+     */
+    private fun fits(spec: JobSpec, room: Room): Boolean {
+        if (!spec.need.fitsIn(room.free)) return false
+        if (spec.need.gpus > 0 || room.free.gpus <= 0 || input.besideGpu == Resources.NONE) return true
+        val whole = room.of.whole
+        return spec.need.fitsIn(room.free - beside(room.free.gpus)) || !spec.need.fitsIn(whole - beside(whole.gpus))
+    }
+
+    private fun beside(gpus: Double): Resources = Resources(input.besideGpu.cpus * gpus, 0.0, input.besideGpu.memoryGb * gpus)
+
     /** Where a task of the job fits now, the best place first. */
     private fun candidates(spec: JobSpec): List<Room> {
         val fitting = ArrayList<Candidate>()
@@ -181,7 +204,7 @@
             visits++
             if (!least.fitsIn(room.free)) continue
             open[kept++] = room
-            if (spec.need.fitsIn(room.free) && allowed(room.of, spec)) {
+            if (fits(spec, room) && allowed(room.of, spec)) {
                 fitting.add(Candidate(room, detour(spec, room), if (spec.kind == JobKind.SERVICE) gathering(spec, room) else 0.0))
             }
         }
@@ -195,7 +218,7 @@
      * is for work that makes room for them, where their images are, when a zone is lost with a third of them.
      */
     private fun gathering(spec: JobSpec, room: Room): Double =
-        if (input.wholeMachines || room.lasting + spec.need.weight <= room.of.half) room.lasting else -room.lasting
+        if (input.wholeMachines || room.lasting + spec.need.weight <= room.of.whole.weight / 2) room.lasting else -room.lasting
 
     /** What speaks against a machine, in seconds: the fetch, and what it costs others when an empty machine is opened. */
     private fun detour(spec: JobSpec, room: Room): Double {
@@ -225,7 +248,7 @@
         for (index in job.pending) {
             if (!input.quota.allows(spec.team, spec.need)) break
             // Neither room nor zones ever come back within a round: what is passed over once is of no more use to this job.
-            while (next < candidates.size && !(spec.need.fitsIn(candidates[next].free) && spec.zoneAllows(zones, candidates[next].of.zone))) {
+            while (next < candidates.size && !(fits(spec, candidates[next]) && spec.zoneAllows(zones, candidates[next].of.zone))) {
                 next++
             }
             val room = candidates.getOrNull(next)
@@ -234,12 +257,13 @@
                 continue
             }
             // Better wait for a place that has the image than fetch it elsewhere for longer.
-            if (warmRoom && fetch(spec, room) > WORTH_STOPPING_S) {
+            if (warmRoom && !job.probe && fetch(spec, room) > WORTH_STOPPING_S) {
                 warmRoom = makeRoom(spec, zones) { spec.image in it.images }
                 if (warmRoom) continue
             }
             take(job, index, room, zones)
         }
+        if (job.probe) return
         while (missing > 0 && makeRoom(spec, zones)) missing--
         if (missing > 0) unplaced.add(Unplaced(spec, missing, zones))
     }
@@ -324,6 +348,7 @@
         }
         val choice = choices.firstNotNullOfOrNull { fit(job, it) }
         if (choice == null) {
+            if (job.probe) return
             unplaced.add(Unplaced(spec, job.pending.size, job.zones))
             reserve(job, choices)
             return
--- a/src/main/kotlin/org/elderhitch/workers/Faults.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Faults.kt
@@ -7,8 +7,11 @@
 
 /**
  * Tells faulty machines from faulty jobs. A machine is at fault when tasks of several jobs fail there, or some of a job
- * that runs well elsewhere; a job is when it fails on several machines and runs well on none. Until it is clear, nothing
- * new goes to a machine where something failed: it is always free, and would take task after task.
+ * that runs well elsewhere; a job is when it fails on several machines and runs on none. Until it is clear, nothing new
+ * goes to a machine where something failed: it is always free, and would take task after task.
+ *
+ * A job submitted with a mistake fails wherever it goes. Of seventy tasks that failed on fifty machines within a second,
+ * each closed its machine to everybody for a while; so once the job is known to be at fault, its machines are open again.
  */
 internal class Faults(private val table: TaskTable) {
     private val log = LoggerFactory.getLogger("elderhitch.workers")
@@ -17,21 +20,39 @@
         log.info("task failed task={} machine={}", task.task, worker.id)
         job.erredOn.add(worker.id)
         worker.shun(job.id, now + ERROR_SHUN)
-        worker.doubtedUntil = now + DOUBT
         worker.erredJobs.merge(job.id, 1, Int::plus)
-        if (job.erredOn.size >= JOB_AT_FAULT && !runsWell(job, worker, now)) {
-            val back = ERROR_BACKOFF * (1 shl minOf(job.erredOn.size - JOB_AT_FAULT, MAX_DOUBLINGS))
-            job.notBefore = now + minOf(back, MAX_BACKOFF)
-            // What such a job does says nothing of the machines that it was on.
-            job.erredOn.forEach { table.workers[it]?.erredJobs?.remove(job.id) }
+        if (job.erredOn.size >= JOB_AT_FAULT && !runsSomewhere(job, worker)) {
+            condemn(job, now)
             return
         }
+        worker.doubtedUntil = now + DOUBT
         judge(worker, now)
     }
 
+    /** What such a job does says nothing of the machines that it was on. */
+    private fun condemn(job: JobState, now: Moment) {
+        val back = ERROR_BACKOFF * (1 shl minOf(job.erredOn.size - JOB_AT_FAULT, MAX_DOUBLINGS))
+        if (job.notBefore < now) log.info("job at fault job={} machines={} again_ms={}", job.id, job.erredOn.size, back.inWholeMilliseconds)
+        job.notBefore = now + minOf(back, MAX_BACKOFF)
+        for (id in job.erredOn) {
+            val worker = table.workers[id] ?: continue
+            if (worker.erredJobs.remove(job.id) != null && worker.erredJobs.isEmpty()) worker.doubtedUntil = Moment.NEVER
+        }
+    }
+
+    /**
+     * How many tasks of a job may be started now, while it isn't known whether it can run at all: those that are on their
+     * way tell, and the others would only fail beside them. Null: as many as there are.
+     */
+    fun probes(job: JobState): Int? {
+        if (job.erredOn.size < SUSPECT || runsSomewhere(job, besides = null)) return null
+        return (if (job.erredOn.size < JOB_AT_FAULT) PROBES else 1) - job.placements.size
+    }
+
     /** Time brings evidence too: jobs that failed on a machine prove well elsewhere. */
     fun reconsider(now: Moment) {
         for (worker in table.workers.values) if (worker.erredJobs.isNotEmpty()) judge(worker, now)
+        for (job in table.jobs.values) if (job.notBefore > now && runsWell(job, null, now)) job.notBefore = Moment.NEVER
     }
 
     private fun judge(worker: WorkerState, now: Moment) {
@@ -39,14 +60,20 @@
         val proven = worker.erredJobs.keys.any { id: JobId -> table.jobs[id]?.let { runsWell(it, worker, now) } ?: false }
         if (worker.erredJobs.size < JOBS_AT_FAULT && !proven) return
         worker.sick = true
+        worker.erredJobs.keys.forEach { table.jobs[it]?.erredOn?.remove(worker.id) }
         log.info("machine faulty machine={} errors={} jobs={}", worker.id, worker.erredJobs.values.sum(), worker.erredJobs.size)
     }
 
-    private fun runsWell(job: JobState, besides: WorkerState, now: Moment): Boolean =
+    /** Enough to blame a machine: that a task of the job is seen running for a moment is not. */
+    private fun runsWell(job: JobState, besides: WorkerState?, now: Moment): Boolean =
         job.done.count > 0 || job.placements.values.any { p ->
             p.worker !== besides && p.worker.erredJobs.isEmpty() && p.runsSince.let { it != null && now - it > PROVEN }
         }
 
+    /** Enough not to blame the job. */
+    private fun runsSomewhere(job: JobState, besides: WorkerState?): Boolean =
+        job.done.count > 0 || job.placements.values.any { it.worker !== besides && it.worker.erredJobs.isEmpty() && it.runsSince != null }
+
     private companion object {
         val ERROR_SHUN = 300.seconds
         val ERROR_BACKOFF = 2.seconds
@@ -54,8 +81,12 @@
         val DOUBT = 10.seconds
         val PROVEN = 10.seconds
         const val MAX_DOUBLINGS = 5
+        const val SUSPECT = 2
         const val JOB_AT_FAULT = 3
         const val JOBS_AT_FAULT = 2
         const val ERRORS_AT_FAULT = 2
+
+        /** On two machines at once: if one of them is the faulty one, the other tells. */
+        const val PROBES = 2
     }
 }
--- a/src/main/kotlin/org/elderhitch/workers/Foreman.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Foreman.kt
@@ -23,6 +23,7 @@
 import org.elderhitch.placement.RoundInput
 import org.elderhitch.placement.RoundOutput
 import org.elderhitch.settings.NodeName
+import org.elderhitch.settings.Objective
 import org.elderhitch.settings.Team
 import org.elderhitch.settings.TeamName
 import org.elderhitch.settings.WorkerTimes
@@ -132,6 +133,7 @@
     private val times: TenureTimes,
     private val workerTimes: WorkerTimes,
     teams: Map<TeamName, Team>,
+    objectives: List<Objective>,
     nodeZones: Map<NodeName, Zone>,
     private val clock: SteadyClock,
     private val ports: ForemanPorts,
@@ -142,10 +144,11 @@
     private val faults = Faults(table)
     private val reconciler = Reconciler(table, faults, clock)
     private val commands = CommandList(table)
-    private val inquiry = Inquiry(table, takeover, workerTimes, ports)
-    private val silence = Silence(table, takeover, workerTimes, TICK, nodeZones, inquiry, ports)
+    private val wakefulness = Wakefulness(TICK)
+    private val inquiry = Inquiry(table, takeover, workerTimes, wakefulness, ports)
+    private val silence = Silence(table, takeover, workerTimes, TICK, nodeZones, inquiry, wakefulness, ports)
     private val consolidation = Consolidation(table)
-    private val feed = RoundFeed(table, teams)
+    private val feed = RoundFeed(table, faults, teams, objectives)
     private val demand = DemandReport(table, silence.suspectAfter)
     private val known = HashMap<MachineId, Machine>()
     private val cleared = HashSet<MachineId>()
@@ -164,6 +167,7 @@
     private var lastCounts = Moment.NEVER
     private var lastDemand = Moment.NEVER
     private var recording = false
+    private var lastParts = Moment.NEVER
 
     override fun start() {
         super.start()
@@ -251,7 +255,7 @@
         when (event) {
             is JobEvent.Opened -> {
                 log.debug("job opened job={} class={} tasks={} image={}", event.spec.id, event.spec.jobClass, event.spec.tasks, event.spec.image)
-                table.jobs.getOrPut(event.spec.id) { JobState(event.spec, event.version) }
+                table.jobs.getOrPut(event.spec.id) { JobState(event.spec, event.version, clock.now()) }
             }
             is JobEvent.Finished -> table.jobs[event.id]?.let {
                 it.finished.addAll(event.tasks)
@@ -432,8 +436,9 @@
     // ---- rounds ------------------------------------------------------------------------------------------------
 
     private fun tick() {
-        val leading = leading() ?: return
         val now = clock.now()
+        wakefulness.tick(now)?.let { log.info("woke up after_ms={}", it.inWholeMilliseconds) }
+        val leading = leading() ?: return
         checkTakeover()
         silence.watch(leading, now, known)
         if (now - lastCounts > COUNTS_EVERY) {
@@ -453,12 +458,14 @@
 
     private fun record(leading: Tenure.Leading) {
         if (recording) return
-        val batches = table.jobs.values.filter { !it.ended && it.done.count > it.finished.count }.take(MAX_BATCHES).map { job ->
-            val fresh = (0 until job.spec.tasks).filter { it in job.done && it !in job.finished }
-            FinishedBatch(job.id, job.version, job.done, fresh)
-        }
+        val now = clock.now()
+        // Parts of jobs wait for each other: each rewrites whole blocks, and the end of a job waits for none of that.
+        val parts = now - lastParts > PARTS_EVERY
+        val batches = table.jobs.values.filter { !it.ended && it.done.count > it.finished.count && (parts || it.done.all) }.take(MAX_BATCHES)
+            .map { FinishedBatch(it.id, it.version, it.done, it.done.beyond(it.finished)) }
         if (batches.isEmpty()) return
         recording = true
+        if (parts) lastParts = now
         ports.record(leading, batches)
     }
 
@@ -477,7 +484,7 @@
         lastRound = now
         drainNoticed()
         val usable = { worker: WorkerState -> usable(worker, now) }
-        val input = feed.input(leading, takeover.settled, takeover.reserved(known, catalog), catalog, keptFree, now, usable)
+        val input = feed.input(leading, { takeover.mayHide(it, known) }, takeover.reserved(known, catalog), catalog, keptFree, now, usable)
         val output = Round(input).decide()
         val held = GangStart(workerTimes.gangWait, table, catalog).heldBack(output.placed)
         for (placed in output.placed) assign(placed.task, placed.machine, placed.joinAttempt, now, held[placed.task] ?: Duration.ZERO)
@@ -556,6 +563,7 @@
         const val ROUND_REST = 4
         val DEMAND_EVERY = 400.milliseconds
         val COUNTS_EVERY = 1.seconds
+        val PARTS_EVERY = 1.seconds
         val HINT_EVERY = 10.seconds
         val CLEAR_AGAIN = 2.seconds
 
--- a/src/main/kotlin/org/elderhitch/workers/Inquiry.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Inquiry.kt
@@ -16,6 +16,7 @@
     private val table: TaskTable,
     private val takeover: Takeover,
     workerTimes: WorkerTimes,
+    private val wakefulness: Wakefulness,
     private val ports: ForemanPorts,
 ) {
     private val overdueAfter: Duration = workerTimes.reportAtLatest + LATE
@@ -53,7 +54,7 @@
     fun ask(leading: Tenure.Leading, now: Moment, pointless: (WorkerState) -> Boolean) {
         for (id in takeover.unheard) ask(leading, id, table.workers[id]?.address ?: addresses[id], now)
         for (worker in table.workers.values) {
-            if (now - maxOf(worker.lastReport, leading.claimedAt) > overdueAfter && !pointless(worker)) ask(leading, worker.id, worker.address, now)
+            if (now - maxOf(worker.lastReport, leading.claimedAt, wakefulness.since) > overdueAfter && !pointless(worker)) ask(leading, worker.id, worker.address, now)
         }
     }
 
--- a/src/main/kotlin/org/elderhitch/workers/RoundFeed.kt
+++ b/src/main/kotlin/org/elderhitch/workers/RoundFeed.kt
@@ -3,6 +3,7 @@
 import org.elderhitch.fleet.Catalog
 import org.elderhitch.jobs.Image
 import org.elderhitch.jobs.JobKind
+import org.elderhitch.jobs.JobSpec
 import org.elderhitch.jobs.Priority
 import org.elderhitch.jobs.Resources
 import org.elderhitch.leadership.Tenure
@@ -12,18 +13,23 @@
 import org.elderhitch.placement.RoundInput
 import org.elderhitch.placement.VictimView
 import org.elderhitch.quota.QuotaLedger
+import org.elderhitch.settings.Objective
 import org.elderhitch.settings.Team
 import org.elderhitch.settings.TeamName
 import org.elderhitch.time.Moment
 import kotlin.time.Duration
 
 /** Makes the input of a placement round from the table. What did not change on a machine is not looked at again. */
-internal class RoundFeed(private val table: TaskTable, private val teams: Map<TeamName, Team>) {
+internal class RoundFeed(private val table: TaskTable, private val faults: Faults, private val teams: Map<TeamName, Team>, objectives: List<Objective>) {
+    /** The tightest aim of each class; a class without one has as long as the most patient of those that have. */
+    private val aims = objectives.mapNotNull { aim -> aim.within?.let { aim.jobClass to it } }.groupBy({ it.first }, { it.second }).mapValues { it.value.min() }
+    private val longestAim = objectives.mapNotNull { it.within }.maxOrNull() ?: Duration.ZERO
+
     private var viewedWith: Catalog = Catalog.EMPTY
 
     fun input(
         leading: Tenure.Leading,
-        settled: Boolean,
+        mayHide: (JobSpec) -> Boolean,
         reserved: Resources,
         catalog: Catalog,
         keptFree: List<KeptFree>,
@@ -38,14 +44,26 @@
         for (job in table.jobs.values) {
             if (job.placements.isNotEmpty()) quota.add(job.spec.team, job.spec.need * job.placements.size)
         }
-        val views = table.jobs.values.mapNotNull { jobView(it, leading, settled, now) }
+        val views = table.jobs.values.mapNotNull { jobView(it, leading, mayHide, now) }
         val machines = ArrayList<MachineView>()
         for (worker in table.workers.values) {
             if (!usable(worker)) continue
             worker.forgive(now)
             (worker.view ?: view(worker, catalog)?.also { worker.view = it })?.let(machines::add)
         }
-        return RoundInput(machines, views, quota, keptFree, wholeMachines = table.jobs.values.any { it.isGang })
+        return RoundInput(machines, views, quota, keptFree, wholeMachines = table.jobs.values.any { it.isGang }, besideGpu = besideGpu())
+    }
+
+    private fun besideGpu(): Resources {
+        var cpus = 0.0
+        var memoryGb = 0.0
+        for (job in table.jobs.values) {
+            val need = job.spec.need
+            if (need.gpus <= 0 || job.ended) continue
+            cpus = maxOf(cpus, need.cpus / need.gpus)
+            memoryGb = maxOf(memoryGb, need.memoryGb / need.gpus)
+        }
+        return Resources(cpus, 0.0, memoryGb)
     }
 
     private fun view(worker: WorkerState, catalog: Catalog): MachineView? {
@@ -71,7 +89,7 @@
         }
         return MachineView(
             worker.id, worker.type, worker.zone, worker.spot, worker.cachedImages(type.cacheGb), free, leaving, victims,
-            worker.shunnedBy, lasting(worker), type.resources.weight / 2, worker.placements.isEmpty(), type.fetchGbPerS,
+            worker.shunnedBy, lasting(worker), type.resources, worker.placements.isEmpty(), type.fetchGbPerS,
             fetching,
         )
     }
@@ -80,10 +98,10 @@
         table.jobs[p.task.job]?.takeIf { it.spec.kind == JobKind.SERVICE }?.spec?.need?.weight ?: 0.0
     }
 
-    private fun jobView(job: JobState, leading: Tenure.Leading, settled: Boolean, now: Moment): JobView? {
+    private fun jobView(job: JobState, leading: Tenure.Leading, mayHide: (JobSpec) -> Boolean, now: Moment): JobView? {
         if (job.ended || now < job.notBefore || job.done.all) return null
         // A task that no report names may still run on a silent worker, if its job is older than our term.
-        if (!settled && job.version <= leading.counter) return null
+        if (job.version <= leading.counter && mayHide(job.spec)) return null
         if (job.isGang) {
             if (job.gang.broken) {
                 // Members that still wait would only wait in vain.
@@ -94,15 +112,17 @@
         } else if (job.placements.size + job.done.count >= job.spec.tasks) {
             return null
         }
+        val probes = faults.probes(job)
+        val most = if (job.isGang) job.spec.tasks else minOf(MAX_PENDING, probes ?: MAX_PENDING)
         val pending = ArrayList<Int>()
-        for (index in 0 until job.spec.tasks) {
-            if (index in job.done || index in job.placements) continue
-            pending.add(index)
-            if (pending.size >= MAX_PENDING && !job.isGang) break
+        var index = job.done.firstMissing(0)
+        while (index < job.spec.tasks && pending.size < most) {
+            if (index !in job.placements) pending.add(index)
+            index = job.done.firstMissing(index + 1)
         }
         if (pending.isEmpty()) return null
         val join = if (job.isGang && job.placements.isNotEmpty()) job.gang.attempt else null
-        return JobView(job.spec, job.version, pending, job.zones(), join)
+        return JobView(job.spec, job.version, pending, job.zones(), join, due = job.openedAt + (aims[job.spec.jobClass] ?: longestAim), probe = probes != null)
     }
 
     private companion object {
--- a/src/main/kotlin/org/elderhitch/workers/Silence.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Silence.kt
@@ -26,6 +26,7 @@
     private val tick: Duration,
     private val zoneOf: Map<NodeName, Zone>,
     private val inquiry: Inquiry,
+    private val wakefulness: Wakefulness,
     private val ports: ForemanPorts,
 ) {
     private class Hearing {
@@ -62,7 +63,7 @@
         val zones = HashMap<Zone, Hearing>()
         for (worker in table.workers.values) {
             val hearing = zones.getOrPut(worker.zone) { Hearing() }
-            val quietFor = now - maxOf(worker.lastReport, leading.claimedAt)
+            val quietFor = now - listeningSince(worker, leading)
             if (quietFor > suspectAfter) hearing.silent++ else hearing.heard++
             if (quietFor > overdueAfter) hearing.overdue++
             if (worker.settled && worker.placements.isNotEmpty() &&
@@ -90,6 +91,9 @@
         if (leading.mayCommand(now)) release(leading, now, unheard, known)
     }
 
+    private fun listeningSince(worker: WorkerState, leading: Tenure.Leading): Moment =
+        maxOf(worker.lastReport, leading.claimedAt, wakefulness.since)
+
     /**
      * Zones that no report came from for longer than chance allows. Reports of many workers come evenly spread: the more
      * there are, the shorter a pause can be. Counted in ticks, so that a process that was held up itself doesn't take
@@ -108,20 +112,20 @@
 
     private fun release(leading: Tenure.Leading, now: Moment, unheard: List<MachineId>, known: Map<MachineId, Machine>) {
         val silent = table.workers.values.filter { worker ->
-            val since = maxOf(worker.lastReport, leading.claimedAt)
-            now - since > patience(worker.id, worker.zone, worker.settled, leading, now) && now - worker.releaseAsked > RELEASE_AGAIN
+            now - listeningSince(worker, leading) > patience(worker.id, worker.zone, worker.settled, leading, now) && now - worker.releaseAsked > RELEASE_AGAIN
         }
         for (worker in silent) {
             worker.releaseAsked = now
             log.info("worker silent machine={} for_ms={}", worker.id, (now - worker.lastReport).inWholeMilliseconds)
         }
         if (silent.isNotEmpty()) ports.fleet(FleetMessage.Release(silent.map { it.id }, "silent"))
+        val waited = now - maxOf(leading.claimedAt, wakefulness.since)
         val overdue = unheard.filter { id ->
             // What the cloud doesn't list is mostly long gone; to return it costs nothing then, and is proof at once.
-            if (inquiry.isUnlisted(id)) return@filter now - leading.claimedAt > UNLISTED_PATIENCE
+            if (inquiry.isUnlisted(id)) return@filter waited > UNLISTED_PATIENCE
             val zone = known[id]?.zone
             val patience = if (zone == null) releaseAfter else patience(id, zone, settled = false, leading, now)
-            now - leading.claimedAt > patience + if (inquiry.isUnreachable(id)) Duration.ZERO else UNHEARD_MARGIN
+            waited > patience + if (inquiry.isUnreachable(id)) Duration.ZERO else UNHEARD_MARGIN
         }
         if (overdue.isNotEmpty()) ports.fleet(FleetMessage.Release(overdue, "unheard"))
     }
@@ -132,7 +136,10 @@
      * leader is cut off with them, and keeps them running; nor shortly before their leases end.
      */
     private fun patience(machine: MachineId, zone: Zone, settled: Boolean, leading: Tenure.Leading, now: Moment): Duration {
-        if (inquiry.isUnreachable(machine) && zone !in doubtfulZones) return workerTimes.reportAtLatest
+        if (inquiry.isUnreachable(machine) && zone !in doubtfulZones) {
+            // All work of earlier terms waits for a takeover's last machine, and not for that of an ordinary day.
+            return if (takeover.settled) workerTimes.reportAtLatest else minOf(workerTimes.reportAtLatest, UNLISTED_PATIENCE)
+        }
         if (zone !in cutZones) return releaseAfter
         val keptRunning = leading.former?.let { zoneOf[it.node] } == zone
         return if (settled || takeover.settled || keptRunning || takeover.endsWithin(workerTimes.lease, now)) CUT_PATIENCE else releaseAfter
--- a/src/main/kotlin/org/elderhitch/workers/Takeover.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Takeover.kt
@@ -2,6 +2,7 @@
 
 import org.elderhitch.fleet.Catalog
 import org.elderhitch.fleet.Machine
+import org.elderhitch.jobs.JobSpec
 import org.elderhitch.jobs.Resources
 import org.elderhitch.leadership.Tenure
 import org.elderhitch.leadership.TenureTimes
@@ -59,6 +60,16 @@
         return true
     }
 
+    /**
+     * Whether an unreported task of the job may be on a machine whose word is missing. No term ever places a task where its
+     * job doesn't allow it: services don't wait for the word of a spot machine.
+     */
+    fun mayHide(job: JobSpec, known: Map<MachineId, Machine>): Boolean {
+        if (settled) return false
+        val unheard = silent ?: return true
+        return unheard.any { id -> known[id]?.let { job.mayUse(it.type, it.zone, it.spot) } ?: true }
+    }
+
     fun endsWithin(span: Duration, now: Moment): Boolean = end - now < span
 
     /** What the silent machines could be running, whoever it belongs to. */
--- /dev/null
+++ b/src/main/kotlin/org/elderhitch/workers/Wakefulness.kt
@@ -0,0 +1,31 @@
+package org.elderhitch.workers
+
+import org.elderhitch.time.Moment
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Notices that this process stood still while its clock ran on: a tick that comes much later than it was due. Whatever was
+ * to be heard meanwhile still lies in the buffers, so silence before [since] says nothing of those who seem to be silent.
+ * After three seconds' pause a leader, whose window was still open, took all its workers for lost and resigned.
+ */
+internal class Wakefulness(private val tick: Duration) {
+    private var last = Moment.FOREVER
+
+    /** When it last woke up. */
+    var since: Moment = Moment.NEVER
+        private set
+
+    /** How long the process stood still until now; null: it did not. */
+    fun tick(now: Moment): Duration? {
+        val pause = now - last
+        last = now
+        if (pause < tick + PAUSE) return null
+        since = now
+        return pause
+    }
+
+    private companion object {
+        val PAUSE = 1.seconds
+    }
+}
--- a/src/main/kotlin/org/elderhitch/workers/WorkerState.kt
+++ b/src/main/kotlin/org/elderhitch/workers/WorkerState.kt
@@ -143,7 +143,7 @@
     }
 }
 
-internal class JobState(val spec: JobSpec, val version: Revision) {
+internal class JobState(val spec: JobSpec, val version: Revision, val openedAt: Moment = Moment.NEVER) {
     /** Recorded as finished. */
     val finished = FinishedTasks(spec.tasks)
 
--- a/src/test/kotlin/org/elderhitch/app/ControllersTest.kt
+++ b/src/test/kotlin/org/elderhitch/app/ControllersTest.kt
@@ -292,6 +292,25 @@
         assertRulesKept()
     }
 
+    /** All that a leader has to hear lies in the buffers when it wakes up: nobody has been silent but itself. */
+    @Test
+    fun `a leader that stood still for less than its window goes on leading, and returns nothing`() = world {
+        submit("req-1", "daemon", 36, 0.0, mapOf("cores" to 40.0))
+        until("machines up", 60.seconds) { onMachine.size >= 6 }
+        delay(20.seconds)
+        val leader = assertNotNull(leader())
+        val machines = platform.cloud.machines().map { it.id }
+        repeat(3) {
+            freeze(leader)
+            delay(3400.milliseconds)
+            thaw(leader)
+            delay(6.seconds)
+            assertEquals(leader, leader())
+        }
+        assertEquals(machines, platform.cloud.machines().map { it.id })
+        assertRulesKept()
+    }
+
     @Test
     fun `a leader that stood still for long is replaced, and wakes up as a follower that answers nothing old`() = world {
         submit("req-1", "daemon", 4, 0.0)
--- a/src/test/kotlin/org/elderhitch/jobs/FinishedTasksTest.kt
+++ b/src/test/kotlin/org/elderhitch/jobs/FinishedTasksTest.kt
@@ -29,6 +29,11 @@
             }
             assertEquals(finished.count, copy.count, "round $round")
             for (i in 0 until tasks) assertEquals(i in finished, i in copy)
+            val some = FinishedTasks(tasks)
+            (0 until tasks).filter { it in finished && random.nextBoolean() }.forEach(some::add)
+            assertEquals((0 until tasks).filter { it in finished && it !in some }, finished.beyond(some))
+            val from = random.nextInt(tasks)
+            assertEquals((from until tasks).firstOrNull { it !in finished } ?: tasks, finished.firstMissing(from).coerceAtMost(tasks))
         }
     }
 
--- a/src/test/kotlin/org/elderhitch/placement/RoundTest.kt
+++ b/src/test/kotlin/org/elderhitch/placement/RoundTest.kt
@@ -13,6 +13,7 @@
 import org.elderhitch.settings.TeamName
 import org.elderhitch.settings.Zone
 import org.elderhitch.store.Revision
+import org.elderhitch.time.Moment
 import org.elderhitch.workers.MachineId
 import kotlin.random.Random
 import kotlin.test.Test
@@ -54,15 +55,15 @@
         leaving: Resources = Resources.NONE,
         fetching: Map<Image, Double> = emptyMap(),
     ) = MachineView(
-        MachineId(id), MachineType(type), Zone(zone), spot, images, free, leaving, victims, emptySet(), lasting, (full.gpus + full.cpus) / 2,
+        MachineId(id), MachineType(type), Zone(zone), spot, images, free, leaving, victims, emptySet(), lasting, full,
         empty = free == full, fetchGbPerS = 1.0, fetching = fetching,
     )
 
     private fun quota(mostGpus: Double? = null, reserved: Resources = Resources.NONE) =
         QuotaLedger(mapOf(team to Team(team, 0.0, 0.0, null, mostGpus)), reserved)
 
-    private fun job(spec: JobSpec, order: Long = 1, zones: Map<Zone, Int> = emptyMap()) =
-        JobView(spec, Revision(order), (0 until spec.tasks).toList(), zones, null)
+    private fun job(spec: JobSpec, order: Long = 1, zones: Map<Zone, Int> = emptyMap(), due: Moment = Moment.FOREVER, probe: Boolean = false) =
+        JobView(spec, Revision(order), (0 until spec.tasks).toList(), zones, null, due, probe)
 
     private fun decide(machines: List<MachineView>, jobs: List<JobView>, quota: QuotaLedger = quota()) =
         Round(RoundInput(machines, jobs, quota)).decide()
@@ -249,4 +250,42 @@
         val output = decide(listOf(machine("m1")), listOf(job(spec(1, tasks = 8))), quota(10.0, reserved = Resources(48.0, 8.0, 384.0)))
         assertEquals(2, output.placed.size)
     }
+
+    /** Seen: 25,000 tasks of a quarter of a processor on all machines; the accelerators beside them could not be used. */
+    @Test
+    fun `small tasks without accelerators leave what the accelerators need beside them`() {
+        val beside = Resources(5.0, 0.0, 36.0)
+        val small = spec(1, tasks = 1000, need = Resources(0.25, 0.0, 1.8))
+        val photos = spec(2, tasks = 8, need = Resources(5.0, 1.0, 36.0))
+        fun round(jobs: List<JobView>, machine: MachineView) = Round(RoundInput(listOf(machine), jobs, quota(), besideGpu = beside)).decide().placed
+        val first = round(listOf(job(small)), machine("m"))
+        assertEquals(32, first.size, "8 of 48 processors are left beside eight accelerators")
+        val left = full - small.need * first.size
+        assertEquals(8, round(listOf(job(photos)), machine("m", free = left)).size)
+        val busy = machine("m", free = Resources(8.0, 0.0, 96.0))
+        assertEquals(32, round(listOf(job(small)), busy).size, "with all accelerators taken the rest is free for all")
+        assertEquals(1, round(listOf(job(spec(3, need = Resources(16.0, 0.0, 64.0)))), machine("m")).size, "too large for what is left, ever")
+        assertEquals(192, Round(RoundInput(listOf(machine("m")), listOf(job(small)), quota())).decide().placed.size, "nobody uses accelerators")
+    }
+
+    @Test
+    fun `of equals the one whose aim is due sooner comes first, however large the other`() {
+        val now = Moment(0) + 1000.seconds
+        val guest = job(spec(1, tasks = 1000, need = Resources(4.0, 1.0, 30.0)), order = 1, due = now + 400.seconds)
+        val home = job(spec(2, tasks = 8), order = 2, due = now + 180.seconds)
+        val output = decide(listOf(machine("m")), listOf(guest, home))
+        assertTrue(output.placed.all { it.task.job == home.spec.id } && output.placed.size == 8)
+    }
+
+    @Test
+    fun `for a job that failed wherever it was tried nothing is stopped, kept or rented`() {
+        val victims = List(8) { VictimView(TaskId(JobId("req-9"), it), Priority.LOW, Resources(4.0, 1.0, 30.0)) }
+        val machine = machine("m", free = Resources(16.0, 0.0, 100.0), victims = victims)
+        for (kind in listOf(JobKind.ARRAY, JobKind.GANG)) {
+            val tried = job(spec(1, kind, priority = Priority.HIGH, tasks = 2), probe = true)
+            val output = decide(listOf(machine), listOf(tried))
+            assertTrue(output.stopped.isEmpty() && output.unplaced.isEmpty(), "$kind")
+            assertEquals(2, decide(listOf(machine("free")), listOf(tried)).placed.size, "$kind")
+        }
+    }
 }
--- /dev/null
+++ b/src/test/kotlin/org/elderhitch/workers/CommandListTest.kt
@@ -0,0 +1,60 @@
+package org.elderhitch.workers
+
+import org.elderhitch.jobs.Image
+import org.elderhitch.jobs.JobId
+import org.elderhitch.jobs.JobKind
+import org.elderhitch.jobs.JobSpec
+import org.elderhitch.jobs.MachineType
+import org.elderhitch.jobs.Priority
+import org.elderhitch.jobs.Resources
+import org.elderhitch.jobs.TaskId
+import org.elderhitch.settings.TeamName
+import org.elderhitch.settings.Zone
+import org.elderhitch.store.Revision
+import org.elderhitch.time.Moment
+import org.elderhitch.time.SteadyClock
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+class CommandListTest {
+    private val now = Moment(0) + 100.seconds
+    private val table = TaskTable(SteadyClock { now })
+    private val worker = WorkerState(MachineId("m"), MachineType("g8"), Zone("a"), false, now)
+
+    private fun job(id: String, tasks: Int): JobState {
+        val spec = JobSpec(
+            JobId(id), "class", TeamName("team"), JobKind.ARRAY, Priority.LOW, tasks, Resources(0.25, 0.0, 1.0), null, null, false, false,
+            true, Image("img"), 1.0, 4.seconds, Duration.ZERO, Duration.ZERO, null,
+        )
+        return JobState(spec, Revision(1)).also { table.jobs[it.id] = it }
+    }
+
+    /** An answer's line has a limit. Starts beyond it counted as sent, and were waited for until a report disowned them. */
+    @Test
+    fun `what an answer can't hold waits for the next one`() {
+        val job = job("req-1", 1000)
+        val ended = job("req-2", 300)
+        repeat(300) { table.place(ended, TaskId(ended.id, it), Attempt(it.toLong()), worker, Certainty.REPORTED, Moment.NEVER) }
+        repeat(1000) { table.place(job, TaskId(job.id, it), Attempt(1000L + it), worker, Certainty.ASSIGNED, now + 5.seconds) }
+        table.end(ended)
+        val commands = CommandList(table)
+        val seen = ArrayList<Command>()
+        repeat(4) {
+            val answer = commands.of(worker, now)
+            assertTrue(answer.size <= 400, "${answer.size} commands")
+            seen.addAll(answer)
+            val started = answer.filterIsInstance<Command.Start>().map { it.task }.toSet()
+            for (p in worker.placements.values.toList()) {
+                assertEquals(p.task in started, p.certainty == Certainty.SENT, "${p.task} counts as sent and is not in the answer")
+                if (p.certainty == Certainty.SENT) p.certainty = Certainty.REPORTED
+                if (p.stop != null) table.remove(ended, p)
+            }
+        }
+        assertEquals(1000, seen.count { it is Command.Start })
+        assertEquals(300, seen.takeWhile { it is Command.Stop }.size, "stops come first")
+        assertTrue(worker !in table.undelivered)
+    }
+}
--- a/src/test/kotlin/org/elderhitch/workers/FaultsTest.kt
+++ b/src/test/kotlin/org/elderhitch/workers/FaultsTest.kt
@@ -17,6 +17,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 class FaultsTest {
@@ -75,4 +76,51 @@
         faults.reconsider(now)
         assertTrue(other.sick && !well.sick)
     }
+
+    /** Seen: seventy tasks of one job failed on fifty machines within 1.5 s, and closed each to everybody for ten. */
+    @Test
+    fun `machines are open again once the job is known to be at fault, and it is only probed`() {
+        val job = job("req-1", tasks = 70)
+        assertEquals(null, faults.probes(job))
+        val machines = List(50) { worker("m$it") }
+        fails(job, machines[0], 0)
+        assertEquals(null, faults.probes(job), "one error is no suspicion")
+        fails(job, machines[1], 1)
+        assertEquals(2, faults.probes(job), "two machines are")
+        machines.forEachIndexed { n, machine -> fails(job, machine, n) }
+        assertTrue(machines.all { it.doubtedUntil < now && !it.sick })
+        assertEquals(1, faults.probes(job))
+        table.place(job, TaskId(job.id, 60), Attempt(60), worker("m99"), Certainty.SENT, Moment.FOREVER)
+        assertEquals(0, faults.probes(job), "one at a time")
+    }
+
+    @Test
+    fun `faulty machines and faulty jobs at the same time are told apart, whatever the order`() {
+        for (seed in 1..60) {
+            val random = kotlin.random.Random(seed)
+            table.jobs.clear()
+            table.workers.clear()
+            val sick = List(random.nextInt(3, 12)) { worker("sick$it") }
+            val well = List(30) { worker("well$it") }
+            val bad = List(random.nextInt(1, 4)) { job("req-bad$it") }
+            val good = List(4) { job("req-good$it") }
+            var attempt = 0
+            repeat(200) {
+                now += random.nextInt(50, 400).milliseconds
+                val machine = (sick + well).filter { !it.sick && it.doubtedUntil < now }.randomOrNull(random) ?: return@repeat
+                val job = (bad + good).filter { it.notBefore < now && faults.probes(it).let { n -> n == null || n > 0 } }.randomOrNull(random) ?: return@repeat
+                val index = attempt++ % 40
+                if (machine in sick || job in bad) {
+                    fails(job, machine, index)
+                } else if (index !in job.placements) {
+                    table.place(job, TaskId(job.id, index), Attempt(attempt.toLong()), machine, Certainty.REPORTED, Moment.NEVER).runsSince = now
+                }
+                faults.reconsider(now)
+            }
+            assertTrue(good.all { it.notBefore < now }, "seed $seed: a good job waits")
+            assertTrue(sick.count { it.sick } * 2 > sick.size, "seed $seed: faulty machines found: ${sick.count { it.sick }} of ${sick.size}")
+            val returned = well.count { it.sick }
+            assertTrue(returned <= bad.size, "seed $seed: $returned good machines condemned")
+        }
+    }
 }
--- /dev/null
+++ b/src/test/kotlin/org/elderhitch/workers/TakeoverTest.kt
@@ -0,0 +1,61 @@
+package org.elderhitch.workers
+
+import org.elderhitch.fleet.Machine
+import org.elderhitch.jobs.Image
+import org.elderhitch.jobs.JobId
+import org.elderhitch.jobs.JobKind
+import org.elderhitch.jobs.JobSpec
+import org.elderhitch.jobs.MachineType
+import org.elderhitch.jobs.Priority
+import org.elderhitch.jobs.Resources
+import org.elderhitch.leadership.Former
+import org.elderhitch.leadership.Incarnation
+import org.elderhitch.leadership.Tenure
+import org.elderhitch.leadership.TenureTimes
+import org.elderhitch.leadership.Term
+import org.elderhitch.settings.NodeName
+import org.elderhitch.settings.TeamName
+import org.elderhitch.settings.WorkerTimes
+import org.elderhitch.settings.Zone
+import org.elderhitch.store.LeaseId
+import org.elderhitch.store.Revision
+import org.elderhitch.time.Moment
+import org.elderhitch.time.SteadyClock
+import kotlin.test.Test
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+class TakeoverTest {
+    private val now = Moment(0) + 100.seconds
+    private val type = MachineType("g8")
+    private val spot = Machine(MachineId("s"), type, Zone("a"), true)
+    private val ordinary = Machine(MachineId("o"), type, Zone("b"), false)
+    private val known = listOf(spot, ordinary).associateBy { it.id }
+    private val times = WorkerTimes(1.seconds, 11.seconds, 45.seconds, 5.seconds, 41.seconds)
+    private val takeover = Takeover(TenureTimes.of(times), times.lease, SteadyClock { now }).apply {
+        val former = Former(NodeName("n0"), Incarnation("x"))
+        begin(Tenure.Leading(Term(2), Revision(5), LeaseId(1), now + 4.seconds, now + 20.seconds, former, now))
+    }
+
+    private fun spec(spotAllowed: Boolean, zone: Zone? = null) = JobSpec(
+        JobId("req-1"), "class", TeamName("team"), JobKind.SERVICE, Priority.PRODUCTION, 2, Resources(4.0, 1.0, 30.0), null, zone, false,
+        false, spotAllowed, Image("img"), 1.0, Duration.ZERO, Duration.ZERO, Duration.ZERO, null,
+    )
+
+    /** Seen: all services of earlier terms waited four seconds for the word of one spot machine that was gone. */
+    @Test
+    fun `a job's tasks hide only where the job may run`() {
+        assertTrue(takeover.mayHide(spec(false), known), "nobody knows yet which machines there are")
+        takeover.census(setOf(spot.id))
+        assertFalse(takeover.mayHide(spec(false), known))
+        assertTrue(takeover.mayHide(spec(true), known))
+        assertFalse(takeover.mayHide(spec(true, Zone("b")), known))
+        takeover.census(setOf(spot.id, ordinary.id))
+        assertTrue(takeover.mayHide(spec(false), known))
+        assertTrue(takeover.mayHide(spec(false), emptyMap()), "a machine of which nothing is known could run anything")
+        takeover.heard(ordinary.id)
+        assertFalse(takeover.mayHide(spec(false), known))
+    }
+}
