In a rush services take half a machine, longest fetch first; production joins a fetch under way

Several images on one machine didn't slow each other there: each took its own time. Tried: while most of the fleet still boots services take half of a machine, those with the largest images first; a fetch under way counts for what is left of it, and production may join it. Late boots don't count. Ruled out: the guest's array (it came at 214 s), takeovers (1.6 and 2.2 s).

--- a/src/main/kotlin/org/elderhitch/placement/Round.kt
+++ b/src/main/kotlin/org/elderhitch/placement/Round.kt
@@ -36,7 +36,7 @@
     /** Nothing is on it: a gang could have it whole, or it could be returned. */
     public val empty: Boolean,
     public val fetchGbPerS: Double,
-    /** What is being fetched there, or will be for tasks on their way: fetches share the machine's rate. */
+    /** What is still to be fetched there, by image, for tasks that are there or on their way: fetches may share the rate. */
     public val fetching: Map<Image, Double>,
 )
 
@@ -67,6 +67,8 @@
     public val keptFree: List<KeptFree> = emptyList(),
     /** There is work that needs machines whole, or nearly so. */
     public val wholeMachines: Boolean = false,
+    /** Most of the fleet is still booting: more room is about to come up than there is. */
+    public val rush: Boolean = false,
     /** What the open jobs' tasks take, at most, beside each accelerator that they use. */
     public val besideGpu: Resources = Resources.NONE,
 )
@@ -143,6 +145,8 @@
         }
         val order = compareByDescending<JobView> { it.spec.priority }
             .thenByDescending { input.quota.withinGuarantee(it.spec.team, it.spec.need) }
+            // What is fetched for longest begins first, where all begin at once.
+            .thenByDescending { if (input.rush && it.spec.kind == JobKind.SERVICE) it.spec.imageGb else 0.0 }
             .thenBy { it.due }
             .thenBy { it.order }
         var kept = false
@@ -194,6 +198,8 @@
         return spec.need.fitsIn(room.free - beside(room.free.gpus)) || !spec.need.fitsIn(whole - beside(whole.gpus))
     }
 
+    private fun takes(spec: JobSpec, room: Room): Boolean = fits(spec, room) && !waitsForMore(spec, room)
+
     private fun beside(gpus: Double): Resources = Resources(input.besideGpu.cpus * gpus, 0.0, input.besideGpu.memoryGb * gpus)
 
     /** Where a task of the job fits now, the best place first. */
@@ -204,7 +210,7 @@
             visits++
             if (!least.fitsIn(room.free)) continue
             open[kept++] = room
-            if (fits(spec, room) && allowed(room.of, spec)) {
+            if (takes(spec, room) && allowed(room.of, spec)) {
                 fitting.add(Candidate(room, detour(spec, room), if (spec.kind == JobKind.SERVICE) gathering(spec, room) else 0.0))
             }
         }
@@ -220,6 +226,15 @@
     private fun gathering(spec: JobSpec, room: Room): Double =
         if (input.wholeMachines || room.lasting + spec.need.weight <= room.of.whole.weight / 2) room.lasting else -room.lasting
 
+    /**
+     * While most of the fleet still boots, services take no more than half of a machine either, unless their image is
+     * there. Seen: the first 26 machines of a morning filled up with services, and whoever came later with the same image
+     * fetched it elsewhere for a minute and a half, since nothing on those machines made room.
+     */
+    private fun waitsForMore(spec: JobSpec, room: Room): Boolean =
+        input.rush && !input.wholeMachines && spec.kind == JobKind.SERVICE && spec.image !in room.of.images &&
+            room.lasting + spec.need.weight > room.of.whole.weight / 2
+
     /** What speaks against a machine, in seconds: the fetch, and what it costs others when an empty machine is opened. */
     private fun detour(spec: JobSpec, room: Room): Double {
         val opening = if (room.empty) OPENING_S else 0.0
@@ -234,6 +249,7 @@
      */
     private fun fetch(spec: JobSpec, room: Room): Double {
         if (spec.image in room.of.images) return 0.0
+        // What is being fetched already is there as soon as the rest of it.
         val own = if (spec.image in room.coming) 0.0 else spec.imageGb
         return (own + room.fetchingGb) / room.of.fetchGbPerS.coerceAtLeast(SLOWEST_FETCH)
     }
@@ -248,7 +264,7 @@
         for (index in job.pending) {
             if (!input.quota.allows(spec.team, spec.need)) break
             // Neither room nor zones ever come back within a round: what is passed over once is of no more use to this job.
-            while (next < candidates.size && !(fits(spec, candidates[next]) && spec.zoneAllows(zones, candidates[next].of.zone))) {
+            while (next < candidates.size && !(takes(spec, candidates[next]) && spec.zoneAllows(zones, candidates[next].of.zone))) {
                 next++
             }
             val room = candidates.getOrNull(next)
@@ -256,15 +272,17 @@
                 missing++
                 continue
             }
-            // Better wait for a place that has the image than fetch it elsewhere for longer.
-            if (warmRoom && !job.probe && fetch(spec, room) > WORTH_STOPPING_S) {
-                warmRoom = makeRoom(spec, zones) { spec.image in it.images }
+            // Better wait for a place that has the image, or will have it soon, than fetch it elsewhere for longer.
+            val alternative = fetch(spec, room) - WORTH_STOPPING_S
+            if (warmRoom && !job.probe && alternative > 0) {
+                warmRoom = makeRoom(spec, zones) { fetch(spec, it) < alternative }
                 if (warmRoom) continue
             }
             take(job, index, room, zones)
         }
         if (job.probe) return
-        while (missing > 0 && makeRoom(spec, zones)) missing--
+        val anywhere = !(input.rush && spec.kind == JobKind.SERVICE)
+        while (missing > 0 && makeRoom(spec, zones) { anywhere || spec.image in it.of.images }) missing--
         if (missing > 0) unplaced.add(Unplaced(spec, missing, zones))
     }
 
@@ -279,10 +297,10 @@
     }
 
     /** Finds room that is being left, or makes some at the cost of the least important task; true if it will come. */
-    private fun makeRoom(spec: JobSpec, zones: MutableMap<Zone, Int>, where: (MachineView) -> Boolean = { true }): Boolean {
+    private fun makeRoom(spec: JobSpec, zones: MutableMap<Zone, Int>, where: (Room) -> Boolean): Boolean {
         val usable = { room: Room ->
             visits++
-            allowed(room.of, spec) && spec.zoneAllows(zones, room.of.zone) && where(room.of)
+            allowed(room.of, spec) && spec.zoneAllows(zones, room.of.zone) && where(room)
         }
         val room = leaving.firstOrNull { spec.need.fitsIn(it.free + it.leaving) && usable(it) } ?: stopFor(spec, usable) ?: return false
         // What is free there now is spoken for as well: nobody less important may take it meanwhile.
@@ -297,20 +315,19 @@
         return true
     }
 
-    /** Stops as few tasks as possible on one machine, rather on one that has the image. */
+    /** Stops as few tasks as possible on one machine, rather on one that has the image, or will have it first. */
     private fun stopFor(spec: JobSpec, usable: (Room) -> Boolean): Room? {
         var best: Room? = null
         var bestStops: List<VictimView> = emptyList()
-        var bestWarm = false
+        var bestFetch = Double.MAX_VALUE
         for (room in yielding) {
             if (room.yields.let { it == null || it >= spec.priority } || !usable(room)) continue
             val stops = roomAfterStops(room, spec) ?: continue
-            val warm = spec.image in room.of.images
-            val better = best == null || (if (warm != bestWarm) warm else stops.size < bestStops.size)
-            if (better) {
+            val fetch = fetch(spec, room)
+            if (best == null || fetch < bestFetch || fetch == bestFetch && stops.size < bestStops.size) {
                 best = room
                 bestStops = stops
-                bestWarm = warm
+                bestFetch = fetch
             }
         }
         val room = best ?: return null
--- a/src/main/kotlin/org/elderhitch/workers/Foreman.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Foreman.kt
@@ -151,6 +151,7 @@
     private val feed = RoundFeed(table, faults, teams, objectives)
     private val demand = DemandReport(table, silence.suspectAfter)
     private val known = HashMap<MachineId, Machine>()
+    private val knownAt = HashMap<MachineId, Moment>()
     private val cleared = HashSet<MachineId>()
     private val gone = HashSet<MachineId>()
     private var hinted: Map<MachineId, Map<Image, Double>> = emptyMap()
@@ -191,6 +192,7 @@
             is ForemanMessage.Census -> census(message)
             is ForemanMessage.MachineKnown -> {
                 known[message.machine.id] = message.machine
+                knownAt[message.machine.id] = clock.now()
                 table.dirty = true
             }
             is ForemanMessage.MachineCleared -> {
@@ -230,6 +232,7 @@
         inquiry.newTerm()
         consolidation.newTerm()
         known.clear()
+        knownAt.clear()
         cleared.clear()
         gone.clear()
         tableComplete = false
@@ -240,6 +243,7 @@
     private fun census(message: ForemanMessage.Census) {
         if (message.term != term()) return
         (message.mayRun + message.fresh).forEach { known[it.id] = it }
+        message.fresh.forEach { knownAt[it.id] = clock.now() }
         message.mayRun.mapTo(cleared) { it.id }
         takeover.census(message.mayRun.map { it.id }.filter { table.workers[it]?.settled != true && it !in gone }.toSet())
         table.dirty = true
@@ -422,6 +426,7 @@
 
     private fun machineGone(id: MachineId, proof: String) {
         known.remove(id)
+        knownAt.remove(id)
         cleared.remove(id)
         gone.add(id)
         takeover.heard(id)
@@ -484,7 +489,7 @@
         lastRound = now
         drainNoticed()
         val usable = { worker: WorkerState -> usable(worker, now) }
-        val input = feed.input(leading, { takeover.mayHide(it, known) }, takeover.reserved(known, catalog), catalog, keptFree, now, usable)
+        val input = feed.input(leading, { takeover.mayHide(it, known) }, takeover.reserved(known, catalog), catalog, keptFree, now, mostlyBooting(now), usable)
         val output = Round(input).decide()
         val held = GangStart(workerTimes.gangWait, table, catalog).heldBack(output.placed)
         for (placed in output.placed) assign(placed.task, placed.machine, placed.joinAttempt, now, held[placed.task] ?: Duration.ZERO)
@@ -504,6 +509,11 @@
         rest(input, output, now)
     }
 
+    /** More machines are on their way up than are there. Those that are late may never come: nothing waits for them. */
+    private fun mostlyBooting(now: Moment): Boolean = cleared.size < known.values.count { machine ->
+        machine.id !in cleared && catalog.types[machine.type].let { it != null && now - (knownAt[machine.id] ?: Moment.NEVER) < it.boot * LATE_BOOT }
+    }
+
     private fun rest(input: RoundInput, output: RoundOutput, began: Moment) {
         val ended = clock.now()
         roundAgain = ended + maxOf(ROUND_LEAST, (ended - began) * ROUND_REST)
@@ -570,6 +580,8 @@
         /** A call costs a connection; a report that is due sooner carries the commands for nothing. */
         val WORTH_CALLING = 1.seconds
 
+        /** "Usually 0.6 to 1.5 times" (PROTOCOL, "Controller nodes -> cloud"). */
+        const val LATE_BOOT = 1.5
         const val ATTEMPTS_PER_TERM_BITS = 24
         const val MAX_BATCHES = 64
         val SAVE_MARGIN = 1.seconds
--- a/src/main/kotlin/org/elderhitch/workers/Reconciler.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Reconciler.kt
@@ -75,6 +75,7 @@
         placement.certainty = Certainty.REPORTED
         if (placement.phase != task.phase) table.dirty = true
         placement.phase = task.phase
+        if (task.phase == TaskPhase.FETCHING && placement.fetchingSince == null) placement.fetchingSince = clock.now()
         if (task.phase == TaskPhase.RUNNING && placement.runsSince == null) placement.runsSince = clock.now()
         if (job.isGang) job.gang.seen(task.phase)
         if (job.ended && placement.stop == null) table.stop(job, placement, Duration.ZERO)
--- a/src/main/kotlin/org/elderhitch/workers/RoundFeed.kt
+++ b/src/main/kotlin/org/elderhitch/workers/RoundFeed.kt
@@ -1,6 +1,7 @@
 package org.elderhitch.workers
 
 import org.elderhitch.fleet.Catalog
+import org.elderhitch.fleet.TypeInfo
 import org.elderhitch.jobs.Image
 import org.elderhitch.jobs.JobKind
 import org.elderhitch.jobs.JobSpec
@@ -18,6 +19,8 @@
 import org.elderhitch.settings.TeamName
 import org.elderhitch.time.Moment
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
 
 /** Makes the input of a placement round from the table. What did not change on a machine is not looked at again. */
 internal class RoundFeed(private val table: TaskTable, private val faults: Faults, private val teams: Map<TeamName, Team>, objectives: List<Objective>) {
@@ -34,6 +37,7 @@
         catalog: Catalog,
         keptFree: List<KeptFree>,
         now: Moment,
+        rush: Boolean,
         usable: (WorkerState) -> Boolean,
     ): RoundInput {
         if (catalog !== viewedWith) {
@@ -49,9 +53,10 @@
         for (worker in table.workers.values) {
             if (!usable(worker)) continue
             worker.forgive(now)
-            (worker.view ?: view(worker, catalog)?.also { worker.view = it })?.let(machines::add)
+            if (worker.view?.fetching?.isNotEmpty() == true && now - worker.viewedAt > FETCH_SEEN_AFTER) worker.changed()
+            (worker.view ?: view(worker, catalog, now)?.also { worker.view = it })?.let(machines::add)
         }
-        return RoundInput(machines, views, quota, keptFree, wholeMachines = table.jobs.values.any { it.isGang }, besideGpu = besideGpu())
+        return RoundInput(machines, views, quota, keptFree, wholeMachines = table.jobs.values.any { it.isGang }, rush = rush, besideGpu = besideGpu())
     }
 
     private fun besideGpu(): Resources {
@@ -66,7 +71,8 @@
         return Resources(cpus, 0.0, memoryGb)
     }
 
-    private fun view(worker: WorkerState, catalog: Catalog): MachineView? {
+    private fun view(worker: WorkerState, catalog: Catalog, now: Moment): MachineView? {
+        worker.viewedAt = now
         val type = catalog.types[worker.type] ?: return null
         // What a task takes whose job is no longer known can't be told: nothing more goes there until it is gone.
         if (worker.tasks.any { it.phase != TaskPhase.EXITED && it.task.job !in table.jobs }) return null
@@ -80,7 +86,7 @@
             free -= job.spec.need
             // What is in use is not what a cache drops; what is being fetched is given up when its task goes.
             val there = p.certainty == Certainty.REPORTED && p.phase != TaskPhase.FETCHING
-            if (there) worker.usesImage(job.spec.image, job.spec.imageGb) else if (job.spec.image !in cached) fetching[job.spec.image] = job.spec.imageGb
+            if (there) worker.usesImage(job.spec.image, job.spec.imageGb) else if (job.spec.image !in cached) fetching.merge(job.spec.image, left(p, job.spec, type, now), ::minOf)
             when {
                 p.stop != null -> leaving += job.spec.need
                 !job.isGang && p.certainty == Certainty.REPORTED && job.spec.priority < Priority.PRODUCTION ->
@@ -94,6 +100,13 @@
         )
     }
 
+    /** How much of its image a task still waits for, if the machine fetches at the stated rate. */
+    private fun left(placement: Placement, spec: JobSpec, type: TypeInfo, now: Moment): Double {
+        val since = placement.fetchingSince ?: return spec.imageGb
+        val fetched = (now - since).toDouble(DurationUnit.SECONDS) * type.fetchGbPerS
+        return (spec.imageGb - fetched).coerceAtLeast(spec.imageGb * LAST_PART)
+    }
+
     private fun lasting(worker: WorkerState): Double = worker.placements.values.sumOf { p ->
         table.jobs[p.task.job]?.takeIf { it.spec.kind == JobKind.SERVICE }?.spec?.need?.weight ?: 0.0
     }
@@ -128,5 +141,9 @@
     private companion object {
         /** A job of a hundred thousand tasks is placed a part at a time: no round could start more. */
         const val MAX_PENDING = 1000
+        val FETCH_SEEN_AFTER = 2.seconds
+
+        /** A fetch that takes longer than it should isn't over because it should be. */
+        const val LAST_PART = 0.1
     }
 }
--- a/src/main/kotlin/org/elderhitch/workers/WorkerState.kt
+++ b/src/main/kotlin/org/elderhitch/workers/WorkerState.kt
@@ -49,6 +49,9 @@
     /** The stop has been sent at least once. */
     var stopSent: Boolean = false
 
+    /** When it was first seen fetching its image; null: it has not been. */
+    var fetchingSince: Moment? = null
+
     /** When it was first seen running; null: it has not been. */
     var runsSince: Moment? = null
 
@@ -100,6 +103,7 @@
 
     /** As rounds see the machine; null: it changed since the last one. */
     var view: MachineView? = null
+    var viewedAt: Moment = Moment.NEVER
 
     /** Jobs that failed here lately, and until when they go elsewhere. */
     private val shuns = HashMap<JobId, Moment>()
--- a/src/test/kotlin/org/elderhitch/placement/RoundTest.kt
+++ b/src/test/kotlin/org/elderhitch/placement/RoundTest.kt
@@ -38,8 +38,9 @@
         zone: Zone? = null,
         types: Set<MachineType>? = null,
         image: String = "img",
+        imageGb: Double = 1.0,
     ) = JobSpec(
-        JobId("req-$id"), "class", team, kind, priority, tasks, need, types, zone, oneZone, spread, spot, Image(image), 1.0,
+        JobId("req-$id"), "class", team, kind, priority, tasks, need, types, zone, oneZone, spread, spot, Image(image), imageGb,
         10.seconds, Duration.ZERO, Duration.ZERO, null,
     )
 
@@ -54,9 +55,10 @@
         lasting: Double = 0.0,
         leaving: Resources = Resources.NONE,
         fetching: Map<Image, Double> = emptyMap(),
+        fetchGbPerS: Double = 1.0,
     ) = MachineView(
         MachineId(id), MachineType(type), Zone(zone), spot, images, free, leaving, victims, emptySet(), lasting, full,
-        empty = free == full, fetchGbPerS = 1.0, fetching = fetching,
+        empty = free == full, fetchGbPerS = fetchGbPerS, fetching = fetching,
     )
 
     private fun quota(mostGpus: Double? = null, reserved: Resources = Resources.NONE) =
@@ -288,4 +290,30 @@
             assertEquals(2, decide(listOf(machine("free")), listOf(tried)).placed.size, "$kind")
         }
     }
+
+    /** Seen: whoever came later fetched 21 GB anew, since the machines that had them were full of services. */
+    @Test
+    fun `in a rush services take half of a machine, those that fetch for longest first`() {
+        val services = List(4) { job(spec(it, JobKind.SERVICE, tasks = 4, priority = Priority.PRODUCTION, image = "img$it", imageGb = 5.0 + it), order = it + 1L) }
+        val machines = List(2) { machine("m$it") }
+        fun rush(jobs: List<JobView>, on: List<MachineView>) = Round(RoundInput(on, jobs, quota(), rush = true)).decide()
+        val output = rush(services, machines)
+        assertEquals(listOf(3, 2, 1).map { JobId("req-$it") }, output.placed.map { it.task.job }.distinct())
+        assertTrue(output.placed.groupBy { it.machine }.values.all { it.size == 5 }, "five take 25 of 28, which is half")
+        assertEquals(6, output.unplaced.sumOf { it.count })
+        assertEquals(16, decide(machines, services).placed.size, "later nothing is held back")
+        val warm = machine("m", free = full - Resources(4.0, 1.0, 30.0) * 4, images = setOf(Image("img0")), lasting = 20.0)
+        assertEquals(4, rush(listOf(services[0]), listOf(warm)).placed.size, "where the image is, nobody waits")
+    }
+
+    @Test
+    fun `production joins a fetch that is nearly over rather than begin one`() {
+        val service = job(spec(1, JobKind.SERVICE, priority = Priority.PRODUCTION, spot = false, imageGb = 20.0))
+        val victims = List(4) { VictimView(TaskId(JobId("req-9"), it), Priority.LOW, Resources(4.0, 1.0, 30.0)) }
+        fun joining(leftGb: Double) =
+            machine("joined", free = Resources.NONE, victims = victims, fetching = mapOf(Image("img") to leftGb), fetchGbPerS = 0.25)
+        val empty = machine("empty", fetchGbPerS = 0.25)
+        assertEquals(1, decide(listOf(joining(5.0), empty), listOf(service)).stopped.size)
+        assertEquals("empty", decide(listOf(joining(19.0), empty), listOf(service)).placed.single().machine.text)
+    }
 }
