A new leader that hears no worker at all hands the lead over before it returns the fleet

Cause (from reading, confirmed by a test): the rule for resigning counted only workers that had reported in the term. A node that reaches the state service alone and claims after a crash hears none, so it never resigned, and returned every machine as silent. It now resigns once (again after 60 s at the earliest) when most of the machines that it waits for take no connection, or none has come within a silent worker's patience.

--- a/src/main/kotlin/org/elderhitch/workers/Silence.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Silence.kt
@@ -50,6 +50,8 @@
     var cutZones: Set<Zone> = emptySet()
         private set
 
+    private var resignedDeafAt = Moment.NEVER
+
     /** Where silence can't be told from a cut: most of the zone, or all that should have reported lately, is silent. */
     private var doubtfulZones: Set<Zone> = emptySet()
 
@@ -81,6 +83,11 @@
             ports.leadership(LeadershipMessage.Resign("$silent of ${silent + heard} workers silent, quiet zones ${quiet.size}"))
             return
         }
+        if (hearsNobody(leading, now)) {
+            resignedDeafAt = now
+            ports.leadership(LeadershipMessage.Resign("not one of ${takeover.unheard.size} machines heard"))
+            return
+        }
         // Machines of an earlier term that never said a word in this one.
         val unheard = takeover.unheard.filter { it !in table.workers }
         unheard.forEach { id -> known[id]?.let { zones.getOrPut(it.zone) { Hearing() }.unheard++ } }
@@ -91,6 +98,17 @@
         if (leading.mayCommand(now)) release(leading, now, unheard, known)
     }
 
+    /**
+     * A new leader that reaches the state service and no worker would lead until every lease is over, and return the whole
+     * fleet as silent meanwhile. It lets another try, once: if that one hears nobody either, the machines are at fault.
+     */
+    private fun hearsNobody(leading: Tenure.Leading, now: Moment): Boolean {
+        val unheard = takeover.unheard
+        if (table.workers.isNotEmpty() || unheard.size < RESIGN_LEAST || now - resignedDeafAt < DEAF_AGAIN) return false
+        val waited = now - maxOf(leading.claimedAt, wakefulness.since)
+        return waited > releaseAfter || waited > UNLISTED_PATIENCE && unheard.count(inquiry::isUnreachable) * 3 > unheard.size * 2
+    }
+
     private fun listeningSince(worker: WorkerState, leading: Tenure.Leading): Moment =
         maxOf(worker.lastReport, leading.claimedAt, wakefulness.since)
 
@@ -160,6 +178,7 @@
         val RELEASE_AGAIN = 5.seconds
         val RESIGN_AFTER = 15.seconds
         const val RESIGN_LEAST = 4
+        val DEAF_AGAIN = 60.seconds
         const val CUT_LEAST = 4
 
         /** After that a zone is given up: new machines would long be up elsewhere. */
--- a/src/test/kotlin/org/elderhitch/app/ControllersTest.kt
+++ b/src/test/kotlin/org/elderhitch/app/ControllersTest.kt
@@ -306,6 +306,26 @@
         until("surplus returned", 40.seconds) { platform.cloud.machines().size < machines / 2 }
     }
 
+    /** It reaches the state service and nobody else: leading on, it would return every machine as silent. */
+    @Test
+    fun `a node that claims while it is cut off from the workers hands the lead over, and returns nothing`() = world {
+        submit("req-1", "daemon", 36, 0.0, mapOf("cores" to 40.0))
+        until("machines up", 60.seconds) { onMachine.size >= 6 }
+        delay(20.seconds)
+        val deaf = names.first { it != leader() }
+        cuts.add(deaf to "workers")
+        (names - deaf).forEach(::crash)
+        until("it leads", 15.seconds) { leader() == deaf }
+        (names - deaf).forEach(::startNode)
+        val machines = platform.cloud.machines().map { it.id }
+        val tasks = onMachine.keys.toSet()
+        until("another leads", 10.seconds) { leader().let { it != null && it != deaf } }
+        delay(15.seconds)
+        assertEquals(machines, platform.cloud.machines().map { it.id })
+        assertTrue(onMachine.keys.containsAll(tasks))
+        assertRulesKept()
+    }
+
     /** All that a leader has to hear lies in the buffers when it wakes up: nobody has been silent but itself. */
     @Test
     fun `a leader that stood still for less than its window goes on leading, and returns nothing`() = world {
