Spare-time work makes room for gangs

The rest waited for whole machines to boot while guests' tasks of the lowest priority filled them: gangs stopped nobody. Tried: where a gang finds no machines, tasks of the lowest priority are stopped on as many as it needs, or on none, the fewest first. Ruled out: stopping label-recheck too, whose users wait 80 s for many jobs at once. Test: one gang, all or none, no second stop while they leave.

--- a/src/main/kotlin/org/elderhitch/placement/Round.kt
+++ b/src/main/kotlin/org/elderhitch/placement/Round.kt
@@ -303,7 +303,13 @@
             allowed(room.of, spec) && spec.zoneAllows(zones, room.of.zone) && where(room)
         }
         val room = leaving.firstOrNull { spec.need.fitsIn(it.free + it.leaving) && usable(it) } ?: stopFor(spec, usable) ?: return false
-        // What is free there now is spoken for as well: nobody less important may take it meanwhile.
+        speakFor(room, spec)
+        zones.merge(room.of.zone, 1, Int::plus)
+        return true
+    }
+
+    /** What is free there now is spoken for as well as what will be: nobody less important may take it meanwhile. */
+    private fun speakFor(room: Room, spec: JobSpec) {
         val fromFree = Resources(
             minOf(room.free.cpus, spec.need.cpus),
             minOf(room.free.gpus, spec.need.gpus),
@@ -311,8 +317,15 @@
         )
         room.free -= fromFree
         room.leaving -= spec.need - fromFree
-        zones.merge(room.of.zone, 1, Int::plus)
-        return true
+    }
+
+    private fun stop(room: Room, victims: List<VictimView>) {
+        for (victim in victims) {
+            room.victims.remove(victim)
+            room.leaving += victim.need
+            stopped.add(victim.task)
+        }
+        leaving.add(room)
     }
 
     /** Stops as few tasks as possible on one machine, rather on one that has the image, or will have it first. */
@@ -322,7 +335,7 @@
         var bestFetch = Double.MAX_VALUE
         for (room in yielding) {
             if (room.yields.let { it == null || it >= spec.priority } || !usable(room)) continue
-            val stops = roomAfterStops(room, spec) ?: continue
+            val stops = roomAfterStops(room, spec, spec.priority) ?: continue
             val fetch = fetch(spec, room)
             if (best == null || fetch < bestFetch || fetch == bestFetch && stops.size < bestStops.size) {
                 best = room
@@ -331,19 +344,14 @@
             }
         }
         val room = best ?: return null
-        for (victim in bestStops) {
-            room.victims.remove(victim)
-            room.leaving += victim.need
-            stopped.add(victim.task)
-        }
-        leaving.add(room)
+        stop(room, bestStops)
         return room
     }
 
-    private fun roomAfterStops(room: Room, spec: JobSpec): List<VictimView>? {
+    private fun roomAfterStops(room: Room, spec: JobSpec, below: Priority): List<VictimView>? {
         val chosen = ArrayList<VictimView>()
         var sum = room.free + room.leaving
-        for (victim in room.victims.filter { it.priority < spec.priority }.sortedBy { it.priority }) {
+        for (victim in room.victims.filter { it.priority < below }.sortedBy { it.priority }) {
             if (spec.need.fitsIn(sum)) break
             sum += victim.need
             chosen.add(victim)
@@ -365,7 +373,7 @@
         }
         val choice = choices.firstNotNullOfOrNull { fit(job, it) }
         if (choice == null) {
-            if (job.probe) return
+            if (job.probe || stopForGang(job, candidates)) return
             unplaced.add(Unplaced(spec, job.pending.size, job.zones))
             reserve(job, choices)
             return
@@ -383,6 +391,34 @@
         for (room in best.take(job.pending.size)) room.free -= job.spec.need
     }
 
+    /**
+     * Work of the lowest priority makes room for a gang, on as many machines as it has tasks or on none; true if it will
+     * come. More important work doesn't: a gang would stop tasks of many jobs at once. Seen: gangs waited for a boot
+     * while guests' spare-time work filled the machines.
+     */
+    private fun stopForGang(job: JobView, whole: List<Room>): Boolean {
+        val spec = job.spec
+        if (spec.spread) return false
+        val below = minOf(spec.priority, Priority.NORMAL)
+        val spare = yielding.filter { room -> room.yields.let { it != null && it < below } }
+        if (spare.isEmpty() && leaving.isEmpty()) return false
+        val offers = ArrayList<Pair<Room, List<VictimView>>>()
+        for (room in LinkedHashSet(whole).apply { addAll(leaving); addAll(spare) }) {
+            visits++
+            if (!allowed(room.of, spec) || job.zones.isNotEmpty() && !spec.zoneAllows(job.zones, room.of.zone)) continue
+            roomAfterStops(room, spec, below)?.let { offers.add(room to it) }
+        }
+        val groups = if (spec.oneZone) offers.groupBy { it.first.of.zone }.values else listOf(offers)
+        val chosen = groups.filter { it.size >= job.pending.size }
+            .map { group -> group.sortedBy { it.second.size }.take(job.pending.size) }
+            .minByOrNull { group -> group.sumOf { it.second.size } } ?: return false
+        for ((room, victims) in chosen) {
+            stop(room, victims)
+            speakFor(room, spec)
+        }
+        return true
+    }
+
     private fun fit(job: JobView, candidates: List<Room>): List<Room>? {
         val spec = job.spec
         val zones = HashMap(job.zones)
--- a/src/test/kotlin/org/elderhitch/placement/RoundTest.kt
+++ b/src/test/kotlin/org/elderhitch/placement/RoundTest.kt
@@ -316,4 +316,25 @@
         assertEquals(1, decide(listOf(joining(5.0), empty), listOf(service)).stopped.size)
         assertEquals("empty", decide(listOf(joining(19.0), empty), listOf(service)).placed.single().machine.text)
     }
+
+    /** Seen: two thirds of the gangs started within 30 s beside guests' spare-time work; the rest waited for boots. */
+    @Test
+    fun `spare-time work makes room for a gang, on all machines that it needs or on none`() {
+        val gang = job(spec(1, JobKind.GANG, tasks = 2, priority = Priority.HIGH, need = Resources(43.0, 8.0, 230.0), oneZone = true, spot = false))
+        fun busy(id: String, zone: String, priority: Priority, count: Int = 8, spot: Boolean = false): MachineView {
+            val victims = List(count) { VictimView(TaskId(JobId("req-9$id"), it), priority, Resources(5.0, 1.0, 27.0)) }
+            return machine(id, zone, spot, full - Resources(5.0, 1.0, 27.0) * count, victims = victims)
+        }
+        val one = listOf(busy("1", "a", Priority.LOW), busy("2", "b", Priority.LOW), busy("3", "a", Priority.NORMAL), busy("4", "a", Priority.LOW, spot = true))
+        assertTrue(decide(one, listOf(gang)).let { it.stopped.isEmpty() && it.unplaced.size == 1 })
+        val two = one + busy("5", "b", Priority.LOW, 3) + busy("6", "a", Priority.LOW)
+        val output = decide(two, listOf(gang))
+        assertEquals(setOf("req-92", "req-95"), output.stopped.map { it.job.text }.toSet())
+        assertEquals(11, output.stopped.size)
+        assertTrue(output.placed.isEmpty() && output.unplaced.isEmpty())
+        // While they leave, nobody else is stopped, and less important work doesn't take what is free there.
+        val leaving = two.map { if (it.id.text in setOf("2", "5")) machine(it.id.text, "b", free = it.free, leaving = full - it.free) else it }
+        val next = decide(leaving, listOf(gang, job(spec(2, tasks = 30, priority = Priority.LOW, need = Resources(5.0, 1.0, 27.0)), order = 2)))
+        assertTrue(next.stopped.isEmpty() && next.placed.none { it.machine.text in setOf("2", "5") })
+    }
 }
