A slow cloud's machines are not rented twice

Machines counted as late after twice the usual boot and what waited rented others, though all were slow. Late now follows the median of those that came up, and while none has come up at all only what is hopeless counts.

--- a/src/main/kotlin/org/elderhitch/fleet/FleetPlan.kt
+++ b/src/main/kotlin/org/elderhitch/fleet/FleetPlan.kt
@@ -36,6 +36,8 @@
     public val now: Moment,
     /** How many times their usual time machines may take to boot before they are given up. */
     public val hopelessBoot: Double = FleetPlan.HOPELESS_BOOT,
+    /** How many times their usual time until something else is rented in their place. */
+    public val lateBoot: Double = FleetPlan.LATE_BOOT,
 )
 
 /** [free]: at once, not only after less important tasks have made room. */
@@ -92,7 +94,7 @@
 
     /** Some machines take several times as long to boot, and some never do: they count for nothing until they are up. */
     private fun late(planned: PlannedMachine, type: TypeInfo): Boolean =
-        input.now - planned.hiredAt > type.boot * LATE_BOOT
+        input.now - planned.hiredAt > type.boot * input.lateBoot
 
     private fun allowed(spec: JobSpec, market: Market, zones: Map<Zone, Int>): Boolean =
         spec.mayUse(market.type, market.zone, market.spot) && spec.zoneAllows(zones, market.zone)
@@ -235,7 +237,7 @@
 
     public companion object {
         private const val TINY = 1e-9
-        private const val LATE_BOOT = 2.0
+        public const val LATE_BOOT: Double = 2.0
         public const val HOPELESS_BOOT: Double = 3.5
         private val HOPELESS_MARGIN = 10.seconds
         private const val MOST_TASKS = 2000
--- a/src/main/kotlin/org/elderhitch/fleet/Renter.kt
+++ b/src/main/kotlin/org/elderhitch/fleet/Renter.kt
@@ -302,7 +302,7 @@
         val headroom = headroom(demand, now)
         ports.foreman(ForemanMessage.KeepFree(headroom.filter { it.free }.map { KeptFree(it.spec, it.tasks) }))
         val output = FleetPlan(
-            PlanInput(catalog, machines + coming, demand.unplaced, headroom, arrivals.machinesWorth(catalog, now), closed.keys + unreachable(demand.cutZones), now, boots.hopeless),
+            PlanInput(catalog, machines + coming, demand.unplaced, headroom, arrivals.machinesWorth(catalog, now), closed.keys + unreachable(demand.cutZones), now, boots.hopeless, boots.late(uses.isNotEmpty())),
             policy,
         ).decide()
         if (log.isDebugEnabled) {
--- a/src/test/kotlin/org/elderhitch/fleet/FleetPlanTest.kt
+++ b/src/test/kotlin/org/elderhitch/fleet/FleetPlanTest.kt
@@ -119,4 +119,18 @@
         boots.add(2.4)
         assertEquals(3.0, boots.hopeless)
     }
+
+    /** Seen: a morning at two and a half times the usual boot, whose whole fleet was rented a second time after 90 s. */
+    @Test
+    fun `where all machines come late, or none has come, none is rented in their place`() {
+        val boots = BootTimes()
+        assertEquals(3.5, boots.late(anyUp = false))
+        assertEquals(2.0, boots.late(anyUp = true))
+        repeat(9) { boots.add(1.0) }
+        assertEquals(2.0, boots.late(anyUp = true))
+        repeat(20) { boots.add(1.6) }
+        assertEquals(3.2, boots.late(anyUp = true))
+        repeat(40) { boots.add(0.05) }
+        assertEquals(2.0, boots.late(anyUp = true), "at once today says nothing of those that are slow")
+    }
 }
