Absent jobs are looked up once; cloud requests ask last whether the term still commands

Cause (from reading; a poll storm multiplies it): each question for a job that nobody submitted read the state service, of whose rate a follower has a fifth. What was read as absent holds while the feed is unbroken; a reload forgets it. And a request to the cloud that waited for its turn could return machines that a successor uses: the right to command is asked directly before it is sent.

--- a/src/main/kotlin/org/elderhitch/app/Controller.kt
+++ b/src/main/kotlin/org/elderhitch/app/Controller.kt
@@ -236,6 +236,8 @@
         override fun foreman(message: ForemanMessage) = foreman.tell(message)
 
         override fun leadership(message: LeadershipMessage) = leadership.tell(message)
+
+        override fun entitled(tenure: Tenure.Leading): Boolean = this@Controller.entitled(tenure)
     }
 
     private fun clusterPorts(): ClusterPorts = object : ClusterPorts {
--- a/src/main/kotlin/org/elderhitch/fleet/CloudClient.kt
+++ b/src/main/kotlin/org/elderhitch/fleet/CloudClient.kt
@@ -42,7 +42,8 @@
 
     private fun type(from: JsonObject): TypeInfo = CatalogCodec.decode(from)
 
-    public suspend fun hire(name: String, market: Market, count: Int): HireOutcome {
+    /** [entitled] is asked last, as the budget may have been waited for, or the process may have stood still. */
+    public suspend fun hire(name: String, market: Market, count: Int, entitled: () -> Boolean): HireOutcome {
         val body = Json.bytes(
             linkedMapOf(
                 "hire" to name,
@@ -52,7 +53,7 @@
                 "count" to count,
             ),
         )
-        val response = call("POST", "/machines", body, Purpose.RECORD) ?: return HireOutcome.Unknown
+        val response = call("POST", "/machines", body, Purpose.RECORD, entitled) ?: return HireOutcome.Unknown
         return decodedFrom("cloud", log, HireOutcome.Unknown) {
             when (response.status) {
                 OK -> HireOutcome.Hired(Json.parseObject(response.body).stringsOrNull("stalls").orEmpty().map(::MachineId))
@@ -63,11 +64,11 @@
         }
     }
 
-    /** True: they are gone, and all that was on them. */
-    public suspend fun release(machines: List<MachineId>): Boolean {
+    /** True: they are gone, and all that was on them. A successor may use them by the time the request's turn comes. */
+    public suspend fun release(machines: List<MachineId>, entitled: () -> Boolean): Boolean {
         check(machines.size <= MOST_RELEASED) { "${machines.size} machines in a request" }
         val body = Json.bytes(mapOf("stalls" to machines.map { it.text }))
-        return call("POST", "/machines/release", body, Purpose.LEADERSHIP)?.status == OK
+        return call("POST", "/machines/release", body, Purpose.LEADERSHIP, entitled)?.status == OK
     }
 
     /** All machines, or null when some page could not be had. */
@@ -94,8 +95,8 @@
         }
     }
 
-    private suspend fun call(method: String, target: String, body: ByteArray?, purpose: Purpose): Response? {
-        if (!budget.take(purpose, 1, PATIENCE)) return null
+    private suspend fun call(method: String, target: String, body: ByteArray?, purpose: Purpose, entitled: () -> Boolean = { true }): Response? {
+        if (!budget.take(purpose, 1, PATIENCE) || !entitled()) return null
         return transport.call(address, method, target, body, TIMEOUT)
     }
 
--- a/src/main/kotlin/org/elderhitch/fleet/Renter.kt
+++ b/src/main/kotlin/org/elderhitch/fleet/Renter.kt
@@ -76,6 +76,9 @@
     public fun foreman(message: ForemanMessage)
 
     public fun leadership(message: LeadershipMessage)
+
+    /** Whether that term still may command, now. */
+    public fun entitled(tenure: Tenure.Leading): Boolean
 }
 
 /**
@@ -423,7 +426,7 @@
     private fun request(leading: Tenure.Leading, intent: HireIntent) {
         if (!leading.mayCommand(clock.now())) return
         intent.busy = true
-        scope.launch { tell(FleetMessage.HireDone(leading.term, intent.name, cloud.hire(intent.name, intent.market, intent.count))) }
+        scope.launch { tell(FleetMessage.HireDone(leading.term, intent.name, cloud.hire(intent.name, intent.market, intent.count) { ports.entitled(leading) })) }
     }
 
     private fun hireDone(message: FleetMessage.HireDone) {
@@ -496,7 +499,7 @@
         for (chunk in machines.filter { held[it]?.releasing != true }.chunked(CloudClient.MOST_RELEASED)) {
             log.info("release machines={} reason={}", chunk, reason)
             chunk.forEach { held[it]?.releasing = true }
-            scope.launch { tell(FleetMessage.Released(leading.term, chunk, cloud.release(chunk))) }
+            scope.launch { tell(FleetMessage.Released(leading.term, chunk, cloud.release(chunk) { ports.entitled(leading) })) }
         }
     }
 
--- a/src/main/kotlin/org/elderhitch/jobs/JobBook.kt
+++ b/src/main/kotlin/org/elderhitch/jobs/JobBook.kt
@@ -33,7 +33,11 @@
 
 /** What is known here of a job. */
 public sealed interface Known {
-    public data object Nothing : Known
+    /** [epoch] counts the gaps in what was followed: what is read elsewhere holds on only within one. */
+    public data class Nothing(val epoch: Int) : Known
+
+    /** The state service said so, and nothing that happened since says otherwise. */
+    public data object Absent : Known
 
     /** [version] is that of the job's record: its place in the order of jobs. */
     public data class Open(val spec: JobSpec, val version: Revision, val standing: Standing) : Known
@@ -49,6 +53,9 @@
     public data class Recorded(val spec: JobSpec, val version: Revision) : JobMessage
     public data class EndedHere(val id: JobId, val record: EndRecord) : JobMessage
 
+    /** The state service knows neither a record nor an ending, read after [Known.Nothing] was answered. */
+    public data class AbsentHere(val id: JobId, val epoch: Int) : JobMessage
+
     /** How many tasks of each job run; the leader's word, for display. */
     public data class Running(val counts: Map<JobId, Int>) : JobMessage
 }
@@ -74,6 +81,10 @@
     private val open = HashMap<JobId, OpenJob>()
     private val ended: Cache<JobId, EndRecord> = Caffeine.newBuilder().maximumSize(REMEMBERED).executor(Runnable::run).build()
 
+    /** Users ask again and again for jobs that nobody submitted; each question read the state service. */
+    private val absent: Cache<JobId, Unit> = Caffeine.newBuilder().maximumSize(REMEMBERED_ABSENT).executor(Runnable::run).build()
+    private var epoch = 0
+
     override fun receive(message: JobMessage) {
         when (message) {
             is JobMessage.Snapshot -> snapshot(message.entries)
@@ -81,17 +92,21 @@
             is JobMessage.Lookup -> message.reply.complete(lookup(message.id))
             is JobMessage.Recorded -> opened(message.spec, message.version)
             is JobMessage.EndedHere -> ended(message.id, message.record)
+            is JobMessage.AbsentHere -> if (message.epoch == epoch && lookup(message.id) is Known.Nothing) absent.put(message.id, Unit)
             is JobMessage.Running -> open.forEach { (id, job) -> job.running = message.counts[id] ?: 0 }
         }
     }
 
     private fun lookup(id: JobId): Known {
         ended.getIfPresent(id)?.let { return Known.Ended(it) }
-        val job = open[id] ?: return Known.Nothing
+        val job = open[id] ?: return if (absent.getIfPresent(id) != null) Known.Absent else Known.Nothing(epoch)
         return Known.Open(job.spec, job.version, Standing.open(job.finished.count, job.running))
     }
 
     private fun snapshot(entries: List<Entry>) {
+        // What began and ended since the last news is in no list.
+        epoch++
+        absent.invalidateAll()
         val present = entries.mapNotNull { (Keys.subject(it.key) as? Subject.Job)?.id }.toSet()
         // How these ended is not known here; whoever asks is answered from their own keys.
         open.keys.filter { it !in present }.forEach { gone(it) }
@@ -119,6 +134,7 @@
     }
 
     private fun opened(spec: JobSpec, version: Revision) {
+        absent.invalidate(spec.id)
         // The record is written once, so a second sight of it changes nothing; and an ended job never opens again.
         if (spec.id in open || ended.getIfPresent(spec.id) != null) return
         open[spec.id] = OpenJob(spec, version)
@@ -136,6 +152,7 @@
     }
 
     private fun ended(id: JobId, record: EndRecord) {
+        absent.invalidate(id)
         ended.put(id, record)
         gone(id)
     }
@@ -146,5 +163,6 @@
 
     private companion object {
         const val REMEMBERED = 20_000L
+        const val REMEMBERED_ABSENT = 5_000L
     }
 }
--- a/src/main/kotlin/org/elderhitch/jobs/JobDesk.kt
+++ b/src/main/kotlin/org/elderhitch/jobs/JobDesk.kt
@@ -66,7 +66,7 @@
         }
         val encoded = JobCodec.encode(spec)
         if (Json.bytes(encoded).size > valueBytes) return known(id, orElse = Answer.Malformed("the job's fields are too long"))
-        if (lookup(id) != Known.Nothing) return known(id, orElse = Answer.NotNow("state unclear"))
+        if (lookup(id).let { it is Known.Open || it is Known.Ended }) return known(id, orElse = Answer.NotNow("state unclear"))
         neverRuns(spec)?.let { return known(id, orElse = it) }
         return record(spec, encoded)
     }
@@ -114,12 +114,16 @@
         return when (val known = lookup(id)) {
             is Known.Ended -> Answer.State(id, known.record.standing())
             is Known.Open -> Answer.State(id, known.standing)
-            Known.Nothing -> when (val read = client.read(Keys.end(id), Purpose.END)) {
+            Known.Absent -> Answer.Unknown
+            is Known.Nothing -> when (val read = client.read(Keys.end(id), Purpose.END)) {
                 is ReadOutcome.Found -> EndRecord.decode(read.entry.value)?.let {
                     book.tell(JobMessage.EndedHere(id, it))
                     Answer.State(id, it.standing())
                 } ?: Answer.NotNow("the job's ending can't be read")
-                ReadOutcome.Absent -> Answer.Unknown
+                ReadOutcome.Absent -> {
+                    book.tell(JobMessage.AbsentHere(id, known.epoch))
+                    Answer.Unknown
+                }
                 ReadOutcome.Unavailable -> Answer.NotNow("the state service doesn't answer")
             }
         }
--- a/src/test/kotlin/org/elderhitch/jobs/JobDeskTest.kt
+++ b/src/test/kotlin/org/elderhitch/jobs/JobDeskTest.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.test.runTest
 import org.elderhitch.app.Rehearsal
 import org.elderhitch.http.Address
+import org.elderhitch.http.Handler
 import org.elderhitch.json.Json
 import org.elderhitch.leadership.Tenure
 import org.elderhitch.leadership.Term
@@ -119,4 +120,26 @@
         }
         assertTrue(endings.keys.containsAll(setOf("done", "withdrawn")), "too little was tried: $endings")
     }
+
+    /** Users ask eight times as often on some days, also for jobs that nobody submitted, and the state service has its limits. */
+    @Test
+    fun `a job that nobody submitted is looked up once, until somebody submits it`() = runTest {
+        val clock = SteadyClock { Moment(currentTime * 1_000_000) }
+        val state = StateStandIn(clock)
+        var reads = 0
+        val counting = Handler { request ->
+            if (request.path.startsWith("/store/v/z/end/")) reads++
+            state.handle(request)
+        }
+        val net = LossyNet(backgroundScope, Random(1), counting).apply { trouble = 0.0 }
+        val nodes = List(2) { Node(this, net, clock) }
+        delay(1.seconds)
+        val id = JobId("req-7")
+        repeat(50) { assertEquals(Answer.Unknown, nodes[0].desk.show(id)) }
+        assertEquals(1, reads)
+        assertTrue(nodes[1].desk.submit(Json.bytes(Rehearsal.exampleJob(id.text, "array"))) is Answer.Accepted)
+        assertEquals("queued", (nodes[0].desk.show(id) as Answer.State).standing.word)
+        assertEquals("withdrawn", (nodes[1].desk.withdraw(id) as Answer.State).standing.word)
+        assertEquals("withdrawn", (nodes[0].desk.show(id) as Answer.State).standing.word)
+    }
 }
