What loses least is stopped first, and few large tasks rather than many small

A stop now costs what is lost by it besides a fixed part, and large tasks go before small ones. Test included.

--- a/src/main/kotlin/org/elderhitch/placement/Round.kt
+++ b/src/main/kotlin/org/elderhitch/placement/Round.kt
@@ -14,6 +14,7 @@
 import org.elderhitch.time.Moment
 import org.elderhitch.workers.Attempt
 import org.elderhitch.workers.MachineId
+import kotlin.time.DurationUnit
 
 /** A machine as a round sees it. Never changed, so that it can be kept from one round to the next. */
 public class MachineView(
@@ -40,7 +41,8 @@
     public val fetching: Map<Image, Double>,
 )
 
-public class VictimView(public val task: TaskId, public val priority: Priority, public val need: Resources)
+/** [unsavedSince]: all that it did since then is lost when it is stopped; null: next to nothing is. */
+public class VictimView(public val task: TaskId, public val priority: Priority, public val need: Resources, public val unsavedSince: Moment? = null)
 
 /** A job with tasks to place. */
 public class JobView(
@@ -69,6 +71,7 @@
     public val wholeMachines: Boolean = false,
     /** Most of the fleet is still booting: more room is about to come up than there is. */
     public val rush: Boolean = false,
+    public val now: Moment = Moment(0),
     /** What the open jobs' tasks take, at most, beside each accelerator that they use. */
     public val besideGpu: Resources = Resources.NONE,
 )
@@ -328,7 +331,7 @@
         leaving.add(room)
     }
 
-    /** Stops as few tasks as possible on one machine, rather on one that has the image, or will have it first. */
+    /** Stops what costs least on one machine, rather on one that has the image, or will have it first. */
     private fun stopFor(spec: JobSpec, usable: (Room) -> Boolean): Room? {
         var best: Room? = null
         var bestStops: List<VictimView> = emptyList()
@@ -337,7 +340,7 @@
             if (room.yields.let { it == null || it >= spec.priority } || !usable(room)) continue
             val stops = roomAfterStops(room, spec, spec.priority) ?: continue
             val fetch = fetch(spec, room)
-            if (best == null || fetch < bestFetch || fetch == bestFetch && stops.size < bestStops.size) {
+            if (best == null || fetch < bestFetch || fetch == bestFetch && cost(stops) < cost(bestStops)) {
                 best = room
                 bestStops = stops
                 bestFetch = fetch
@@ -348,10 +351,18 @@
         return room
     }
 
+    /** The least important first, then few large ones rather than many small, then those that lose least. */
+    private val cheapest: Comparator<VictimView> = compareBy({ it.priority }, { -it.need.weight }, { lost(it) })
+
+    /** What stops cost their users, in seconds: each is started again somewhere, and does again what was not saved. */
+    private fun cost(stops: List<VictimView>): Double = stops.sumOf { STOP_S + lost(it) }
+
+    private fun lost(victim: VictimView): Double = victim.unsavedSince?.let { (input.now - it).toDouble(DurationUnit.SECONDS) } ?: 0.0
+
     private fun roomAfterStops(room: Room, spec: JobSpec, below: Priority): List<VictimView>? {
         val chosen = ArrayList<VictimView>()
         var sum = room.free + room.leaving
-        for (victim in room.victims.filter { it.priority < below }.sortedBy { it.priority }) {
+        for (victim in room.victims.filter { it.priority < below }.sortedWith(cheapest)) {
             if (spec.need.fitsIn(sum)) break
             sum += victim.need
             chosen.add(victim)
@@ -410,8 +421,8 @@
         }
         val groups = if (spec.oneZone) offers.groupBy { it.first.of.zone }.values else listOf(offers)
         val chosen = groups.filter { it.size >= job.pending.size }
-            .map { group -> group.sortedBy { it.second.size }.take(job.pending.size) }
-            .minByOrNull { group -> group.sumOf { it.second.size } } ?: return false
+            .map { group -> group.sortedBy { cost(it.second) }.take(job.pending.size) }
+            .minByOrNull { group -> group.sumOf { cost(it.second) } } ?: return false
         for ((room, victims) in chosen) {
             stop(room, victims)
             speakFor(room, spec)
@@ -447,6 +458,7 @@
         // Stopping a less important task takes its time to save and a report or two; a fetch longer than this is worse.
         const val WORTH_STOPPING_S = 12.0
         const val DEAR_S = 6.0
+        const val STOP_S = 10.0
 
         val PREFERENCE: Comparator<Candidate> = Comparator { a, b ->
             var order = a.detour.compareTo(b.detour)
--- a/src/main/kotlin/org/elderhitch/workers/RoundFeed.kt
+++ b/src/main/kotlin/org/elderhitch/workers/RoundFeed.kt
@@ -56,7 +56,7 @@
             if (worker.view?.fetching?.isNotEmpty() == true && now - worker.viewedAt > FETCH_SEEN_AFTER) worker.changed()
             (worker.view ?: view(worker, catalog, now)?.also { worker.view = it })?.let(machines::add)
         }
-        return RoundInput(machines, views, quota, keptFree, wholeMachines = table.jobs.values.any { it.isGang }, rush = rush, besideGpu = besideGpu())
+        return RoundInput(machines, views, quota, keptFree, wholeMachines = table.jobs.values.any { it.isGang }, rush = rush, now = now, besideGpu = besideGpu())
     }
 
     private fun besideGpu(): Resources {
@@ -90,7 +90,7 @@
             when {
                 p.stop != null -> leaving += job.spec.need
                 !job.isGang && p.certainty == Certainty.REPORTED && job.spec.priority < Priority.PRODUCTION ->
-                    victims.add(VictimView(p.task, job.spec.priority, job.spec.need))
+                    victims.add(VictimView(p.task, job.spec.priority, job.spec.need, p.runsSince.takeUnless { job.spec.saves }))
             }
         }
         return MachineView(
--- a/src/test/kotlin/org/elderhitch/placement/RoundTest.kt
+++ b/src/test/kotlin/org/elderhitch/placement/RoundTest.kt
@@ -337,4 +337,21 @@
         val next = decide(leaving, listOf(gang, job(spec(2, tasks = 30, priority = Priority.LOW, need = Resources(5.0, 1.0, 27.0)), order = 2)))
         assertTrue(next.stopped.isEmpty() && next.placed.none { it.machine.text in setOf("2", "5") })
     }
+
+    /** Seen: eight of 800 small jobs began anew again and again, each time after minutes that no checkpoint kept. */
+    @Test
+    fun `what loses least is stopped, and small tasks only where large ones don't do`() {
+        val now = Moment(0) + 1000.seconds
+        val gang = job(spec(1, JobKind.GANG, priority = Priority.HIGH, need = Resources(43.0, 8.0, 230.0), spot = false))
+        fun busy(id: String, since: Moment?): MachineView {
+            val large = List(7) { VictimView(TaskId(JobId("req-large$id"), it), Priority.LOW, Resources(5.0, 1.0, 27.0), since) }
+            val small = List(32) { VictimView(TaskId(JobId("req-small$id"), it), Priority.LOW, Resources(0.25, 0.0, 1.0), now - it.seconds) }
+            return machine(id, free = Resources(5.0, 1.0, 100.0), victims = small + large)
+        }
+        val machines = listOf(busy("1", now - 100.seconds), busy("2", null), busy("3", now - 30.seconds))
+        val stopped = Round(RoundInput(machines, listOf(gang), quota(), now = now)).decide().stopped
+        assertEquals(7, stopped.count { it.job.text == "req-large2" })
+        assertEquals((0..11).toSet(), stopped.filter { it.job.text == "req-small2" }.map { it.index }.toSet(), "those that ran for least")
+        assertEquals(19, stopped.size)
+    }
 }
