Workers that wait for two nodes in a row are asked, not returned

The new leader had heard all workers directly at 343 s; they waited 4 s and 1 s at each of the others, were taken for a cut of all zones and so no longer asked; and when the first were back at 351 s the zones counted as heard again, and 50 of 84 machines were returned as silent for 7.9 s. Now a few machines of a zone that seems cut off are asked too, whoever was not asked in vain gets 6 s more, and a zone that is heard again starts its workers' silence anew. Ruled out: a pause of the new leader (no such line), a real cut (workers answered at their own addresses). Test: two nodes in a row; without the change all machines are returned.

--- a/src/main/kotlin/org/elderhitch/workers/Foreman.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Foreman.kt
@@ -452,7 +452,7 @@
             ports.running(table.jobs.values.filter { it.placements.isNotEmpty() }.associate { it.id to it.running })
         }
         if (!tableComplete || !leading.mayCommand(now)) return
-        inquiry.ask(leading, now) { silence.isCutOff(it.zone) || it.releaseAsked != Moment.NEVER }
+        inquiry.ask(leading, now, silence::isCutOff)
         record(leading)
         if (now - lastHint > HINT_EVERY) {
             lastHint = now
--- a/src/main/kotlin/org/elderhitch/workers/Inquiry.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Inquiry.kt
@@ -3,6 +3,7 @@
 import org.elderhitch.http.Address
 import org.elderhitch.leadership.Tenure
 import org.elderhitch.settings.WorkerTimes
+import org.elderhitch.settings.Zone
 import org.elderhitch.time.Moment
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -24,12 +25,14 @@
     private val addresses = HashMap<MachineId, Address>()
     private var listed: Set<MachineId>? = null
     private val unreachable = HashSet<MachineId>()
+    private val askedInVain = HashSet<MachineId>()
 
     fun newTerm() {
         asked.clear()
         addresses.clear()
         listed = null
         unreachable.clear()
+        askedInVain.clear()
     }
 
     /** The cloud's list in this term, and where it says that machines are. */
@@ -43,18 +46,27 @@
 
     fun isUnreachable(machine: MachineId): Boolean = machine in unreachable
 
+    /** It was asked at its own address since its last word, and said nothing. */
+    fun wasAskedInVain(machine: MachineId): Boolean = machine in askedInVain
+
     fun heard(machine: MachineId) {
         unreachable.remove(machine)
+        askedInVain.remove(machine)
     }
 
     fun took(machine: MachineId, connection: Boolean) {
+        askedInVain.add(machine)
         if (connection) unreachable.remove(machine) else unreachable.add(machine)
     }
 
-    fun ask(leading: Tenure.Leading, now: Moment, pointless: (WorkerState) -> Boolean) {
+    /** In a zone that seems to be cut off only a few are asked: one answer tells that it isn't. */
+    fun ask(leading: Tenure.Leading, now: Moment, isCutOff: (Zone) -> Boolean) {
         for (id in takeover.unheard) ask(leading, id, table.workers[id]?.address ?: addresses[id], now)
+        val asked = HashMap<Zone, Int>()
         for (worker in table.workers.values) {
-            if (now - maxOf(worker.lastReport, leading.claimedAt, wakefulness.since) > overdueAfter && !pointless(worker)) ask(leading, worker.id, worker.address, now)
+            if (now - maxOf(worker.lastReport, leading.claimedAt, wakefulness.since) <= overdueAfter || worker.releaseAsked != Moment.NEVER) continue
+            if (isCutOff(worker.zone) && asked.merge(worker.zone, 1, Int::plus).let { it != null && it > FEW }) continue
+            ask(leading, worker.id, worker.address, now)
         }
     }
 
@@ -67,5 +79,6 @@
     private companion object {
         val LATE = 500.milliseconds
         val AGAIN = 3.seconds
+        const val FEW = 4
     }
 }
--- a/src/main/kotlin/org/elderhitch/workers/Silence.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Silence.kt
@@ -50,6 +50,11 @@
     var cutZones: Set<Zone> = emptySet()
         private set
 
+    /**
+     * When a zone was last heard again. Its workers come back one after the other: those that were still missing when the
+     * first half was back had been silent for longest, and were all returned.
+     */
+    private val reopenedAt = HashMap<Zone, Moment>()
     private var resignedDeafAt = Moment.NEVER
 
     /** Where silence can't be told from a cut: most of the zone, or all that should have reported lately, is silent. */
@@ -94,6 +99,7 @@
         doubtfulZones = zones.filterValues { it.majorityOverdue }.keys + quiet
         val cut = if (now - leading.claimedAt > suspectAfter) zones.filterValues { it.majoritySilent }.keys + quiet else emptySet()
         if (cut != cutZones) log.info("zones cut off zones={} silent={}", cut, silent + unheard.size)
+        for (zone in cutZones - cut) reopenedAt[zone] = now
         cutZones = cut
         if (leading.mayCommand(now)) release(leading, now, unheard, known)
     }
@@ -130,7 +136,9 @@
 
     private fun release(leading: Tenure.Leading, now: Moment, unheard: List<MachineId>, known: Map<MachineId, Machine>) {
         val silent = table.workers.values.filter { worker ->
-            now - listeningSince(worker, leading) > patience(worker.id, worker.zone, worker.settled, leading, now) && now - worker.releaseAsked > RELEASE_AGAIN
+            val quiet = now - maxOf(listeningSince(worker, leading), reopenedAt[worker.zone] ?: Moment.NEVER)
+            val patience = patience(worker.id, worker.zone, worker.settled, leading, now)
+            quiet > (if (inquiry.wasAskedInVain(worker.id)) patience else patience + UNASKED_MARGIN) && now - worker.releaseAsked > RELEASE_AGAIN
         }
         for (worker in silent) {
             worker.releaseAsked = now
@@ -175,6 +183,9 @@
         val LATE = 300.milliseconds
         val UNLISTED_PATIENCE = 2.seconds
         val UNHEARD_MARGIN = 3.seconds
+
+        /** A worker may wait for two other nodes that don't answer before it comes here, and tell so when it is asked. */
+        val UNASKED_MARGIN = 6.seconds
         val RELEASE_AGAIN = 5.seconds
         val RESIGN_AFTER = 15.seconds
         const val RESIGN_LEAST = 4
--- a/src/test/kotlin/org/elderhitch/app/ControllersTest.kt
+++ b/src/test/kotlin/org/elderhitch/app/ControllersTest.kt
@@ -339,6 +339,28 @@
         }
     }
 
+    /**
+     * Seen: workers that waited for two nodes that didn't answer, one after the other, were taken for a cut of all zones;
+     * when the first of them were back, 50 of 84 machines were returned as silent.
+     */
+    @Test
+    fun `workers that wait for two nodes in a row are not returned`() {
+        for (seed in 1L..3L) {
+            world(seed) {
+                submit("req-1", "daemon", 36, 0.0, mapOf("cores" to 40.0))
+                until("machines up", 60.seconds) { onMachine.size >= 12 }
+                delay(20.seconds)
+                val leader = assertNotNull(leader())
+                val machines = platform.cloud.machines().map { it.id }
+                freeze(names[(names.indexOf(leader) + 1) % names.size])
+                cuts.add(leader to "workers")
+                until("another leads", 10.seconds) { leader().let { it != null && it != leader } }
+                delay(25.seconds)
+                assertEquals(machines, platform.cloud.machines().map { it.id }, "seed $seed")
+            }
+        }
+    }
+
     /** All that a leader has to hear lies in the buffers when it wakes up: nobody has been silent but itself. */
     @Test
     fun `a leader that stood still for less than its window goes on leading, and returns nothing`() = world {
