The build's rehearsal ends whatever happens, and chooses its ports together

Cause (seen once in a build beside others): a port was taken between its choice and its use; the main thread ended with the exception, the process stayed, and the build waited for it without end. It now tries again, three times, and fails.

--- a/src/main/kotlin/org/elderhitch/app/Rehearsal.kt
+++ b/src/main/kotlin/org/elderhitch/app/Rehearsal.kt
@@ -16,6 +16,7 @@
 import org.elderhitch.standin.TaskWatch
 import org.elderhitch.time.SystemSteadyClock
 import org.slf4j.LoggerFactory
+import java.io.IOException
 import java.net.InetAddress
 import java.net.ServerSocket
 import kotlin.random.Random
@@ -61,8 +62,27 @@
         return platform
     }
 
+    /**
+     * Ends the process whatever happens: its threads would keep it, and the build that waits for it, for ever. Seen: another
+     * process had taken a port between its choice and its use.
+     */
     fun run() {
-        val settings = Settings.parse(Json.bytes(exampleSettings(List(PORTS) { freePort() })))
+        var tries = 0
+        while (true) {
+            try {
+                rehearse(Settings.parse(Json.bytes(exampleSettings(freePorts(PORTS)))))
+                exitProcess(0)
+            } catch (e: IOException) {
+                log.error("rehearsal failed reason=\"{}\"", e.message)
+                if (++tries == TRIES) exitProcess(1)
+            } catch (@Suppress("TooGenericExceptionCaught") e: Exception) {
+                log.error("rehearsal failed", e)
+                exitProcess(1)
+            }
+        }
+    }
+
+    private fun rehearse(settings: Settings) {
         val loop = Daemon.loop()
         val scope = Daemon.scope(loop)
         val group = channelGroup(loop)
@@ -78,7 +98,6 @@
                 exercise(client, settings.clientListen)
             }
         }
-        exitProcess(0)
     }
 
     private suspend fun exercise(client: HttpClient, node: Address) {
@@ -99,7 +118,13 @@
 
     private const val PORTS = 5
 
-    private fun freePort(): Int = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress()).use { it.localPort }
+    private const val TRIES = 3
+
+    /** All held until the last is chosen, so that none is chosen twice. */
+    private fun freePorts(count: Int): List<Int> {
+        val held = List(count) { ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress()) }
+        return held.map { it.localPort }.also { held.forEach(ServerSocket::close) }
+    }
 
     fun exampleJob(id: String, kind: String): Map<String, Any?> = linkedMapOf(
         "id" to id, "lotClass" to "example", "desk" to "team", "lotKind" to kind, "urgency" to "normal", "crates" to 2,
