--- a/src/main/kotlin/org/elderhitch/placement/Round.kt
+++ b/src/main/kotlin/org/elderhitch/placement/Round.kt
@@ -92,8 +92,8 @@
 /**
  * One placement round: what is known goes in, decisions come out. The most important jobs come first, work within a
  * team's guarantee before borrowed room, then those whose aims are due sooner, then older jobs before younger ones; each
- * task goes to the fullest machine that it fits. Exceptions, in [detour]: a machine that lacks the image, and one that is empty, come later by as many seconds as
- * that costs; and for services a machine is as full as its services make it.
+ * task goes to the fullest machine that it fits. Exceptions, in [detour]: a machine that lacks the image, and one that is
+ * empty, come later by as many seconds as that costs; and for services a machine is as full as its services make it.
  *
  * Room only shrinks within a round, so that most of the fleet is never looked at twice: machines that are too full for
  * any pending task are left out from the start or dropped on the way, a job walks along its candidates once, and what
--- a/src/main/kotlin/org/elderhitch/workers/Silence.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Silence.kt
@@ -111,10 +111,13 @@
     private fun hearsNobody(leading: Tenure.Leading, now: Moment): Boolean {
         val unheard = takeover.unheard
         if (table.workers.isNotEmpty() || unheard.size < RESIGN_LEAST || now - resignedDeafAt < DEAF_AGAIN) return false
-        val waited = now - maxOf(leading.claimedAt, wakefulness.since)
+        val waited = waited(leading, now)
         return waited > releaseAfter || waited > UNLISTED_PATIENCE && unheard.count(inquiry::isUnreachable) * 3 > unheard.size * 2
     }
 
+    /** How long this term has been able to hear anybody. */
+    private fun waited(leading: Tenure.Leading, now: Moment): Duration = now - maxOf(leading.claimedAt, wakefulness.since)
+
     private fun listeningSince(worker: WorkerState, leading: Tenure.Leading): Moment =
         maxOf(worker.lastReport, leading.claimedAt, wakefulness.since)
 
@@ -145,7 +148,7 @@
             log.info("worker silent machine={} for_ms={}", worker.id, (now - worker.lastReport).inWholeMilliseconds)
         }
         if (silent.isNotEmpty()) ports.fleet(FleetMessage.Release(silent.map { it.id }, "silent"))
-        val waited = now - maxOf(leading.claimedAt, wakefulness.since)
+        val waited = waited(leading, now)
         val overdue = unheard.filter { id ->
             // What the cloud doesn't list is mostly long gone; to return it costs nothing then, and is proof at once.
             if (inquiry.isUnlisted(id)) return@filter waited > UNLISTED_PATIENCE
