--- a/src/main/kotlin/org/elderhitch/workers/Foreman.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Foreman.kt
@@ -150,10 +150,7 @@
     private val consolidation = Consolidation(table)
     private val feed = RoundFeed(table, faults, teams, objectives)
     private val demand = DemandReport(table, silence.suspectAfter)
-    private val known = HashMap<MachineId, Machine>()
-    private val knownAt = HashMap<MachineId, Moment>()
-    private val cleared = HashSet<MachineId>()
-    private val gone = HashSet<MachineId>()
+    private val roster = Roster()
     private var hinted: Map<MachineId, Map<Image, Double>> = emptyMap()
     private var lastHint = Moment.NEVER
     private var keptFree: List<KeptFree> = emptyList()
@@ -191,12 +188,11 @@
             }
             is ForemanMessage.Census -> census(message)
             is ForemanMessage.MachineKnown -> {
-                known[message.machine.id] = message.machine
-                knownAt[message.machine.id] = clock.now()
+                roster.rented(message.machine, clock.now())
                 table.dirty = true
             }
             is ForemanMessage.MachineCleared -> {
-                cleared.add(message.machine)
+                roster.clear(message.machine)
                 table.dirty = true
             }
             is ForemanMessage.MachineGone -> machineGone(message.machine, message.proof)
@@ -231,10 +227,7 @@
         takeover.begin(leading)
         inquiry.newTerm()
         consolidation.newTerm()
-        known.clear()
-        knownAt.clear()
-        cleared.clear()
-        gone.clear()
+        roster.newTerm()
         tableComplete = false
         nextAttempt = leading.term.number shl ATTEMPTS_PER_TERM_BITS
         recording = false
@@ -242,10 +235,8 @@
 
     private fun census(message: ForemanMessage.Census) {
         if (message.term != term()) return
-        (message.mayRun + message.fresh).forEach { known[it.id] = it }
-        message.fresh.forEach { knownAt[it.id] = clock.now() }
-        message.mayRun.mapTo(cleared) { it.id }
-        takeover.census(message.mayRun.map { it.id }.filter { table.workers[it]?.settled != true && it !in gone }.toSet())
+        roster.census(message.mayRun, message.fresh, clock.now())
+        takeover.census(message.mayRun.map { it.id }.filter { table.workers[it]?.settled != true && it !in roster.gone }.toSet())
         table.dirty = true
         checkTakeover()
     }
@@ -286,7 +277,7 @@
             return ReportAnswer.Elsewhere(null)
         }
         // A message from a machine that is surely gone was held up on its way.
-        if (!leading.mayAnswer(now) || report.machine in gone) return ReportAnswer.Elsewhere(null)
+        if (!leading.mayAnswer(now) || report.machine in roster.gone) return ReportAnswer.Elsewhere(null)
         val worker = table.workers.getOrPut(report.machine) { worker(report, now) }
         val order = worker.order
         // Late reports tell what was: answering one would renew nothing, and believing one would free a task.
@@ -334,8 +325,8 @@
         silence.heard(worker)
         inquiry.heard(worker.id)
         silence.back(worker, now)
-        if (report.machine !in known) ports.fleet(FleetMessage.Stray(report))
-        if (worker.id in known && worker.id !in cleared && now - worker.clearAsked > CLEAR_AGAIN) {
+        if (report.machine !in roster.known) ports.fleet(FleetMessage.Stray(report))
+        if (worker.id in roster.known && worker.id !in roster.cleared && now - worker.clearAsked > CLEAR_AGAIN) {
             worker.clearAsked = now
             ports.fleet(FleetMessage.CameUp(worker.id))
         }
@@ -405,7 +396,7 @@
 
     private fun asked(message: ForemanMessage.Asked) {
         val leading = leading() ?: return
-        if (message.term != leading.term || message.machine in gone) return
+        if (message.term != leading.term || message.machine in roster.gone) return
         val said = (message.outcome as? CommandOutcome.Executed)?.report
         inquiry.took(message.machine, connection = message.outcome != CommandOutcome.Unreachable)
         // A machine's address may be another's by now.
@@ -425,10 +416,7 @@
     }
 
     private fun machineGone(id: MachineId, proof: String) {
-        known.remove(id)
-        knownAt.remove(id)
-        cleared.remove(id)
-        gone.add(id)
+        roster.lost(id)
         takeover.heard(id)
         table.workers.remove(id)?.let { worker ->
             log.info("worker settled machine={} by={} tasks={}", id, proof, worker.placements.size)
@@ -445,7 +433,7 @@
         wakefulness.tick(now)?.let { log.info("woke up after_ms={}", it.inWholeMilliseconds) }
         val leading = leading() ?: return
         checkTakeover()
-        silence.watch(leading, now, known)
+        silence.watch(leading, now, roster.known)
         if (now - lastCounts > COUNTS_EVERY) {
             lastCounts = now
             faults.reconsider(now)
@@ -489,7 +477,7 @@
         lastRound = now
         drainNoticed()
         val usable = { worker: WorkerState -> usable(worker, now) }
-        val input = feed.input(leading, { takeover.mayHide(it, known) }, takeover.reserved(known, catalog), catalog, keptFree, now, mostlyBooting(now), usable)
+        val input = feed.input(leading, { takeover.mayHide(it, roster.known) }, takeover.reserved(roster.known, catalog), catalog, keptFree, now, roster.mostlyBooting(catalog, now), usable)
         val output = Round(input).decide()
         val held = GangStart(workerTimes.gangWait, table, catalog).heldBack(output.placed)
         for (placed in output.placed) assign(placed.task, placed.machine, placed.joinAttempt, now, held[placed.task] ?: Duration.ZERO)
@@ -504,16 +492,11 @@
         if (leading.mayCommand(decided) && decided - now < times.roundBudget) sendUrgent(leading, decided, answering)
         if (now - lastDemand > DEMAND_EVERY) {
             lastDemand = now
-            ports.fleet(FleetMessage.Demand(output.unplaced, demand.uses(catalog, now, cleared, usable), demand.services(), takeover.settled, silence.cutZones))
+            ports.fleet(FleetMessage.Demand(output.unplaced, demand.uses(catalog, now, roster.cleared, usable), demand.services(), takeover.settled, silence.cutZones))
         }
         rest(input, output, now)
     }
 
-    /** More machines are on their way up than are there. Those that are late may never come: nothing waits for them. */
-    private fun mostlyBooting(now: Moment): Boolean = cleared.size < known.values.count { machine ->
-        machine.id !in cleared && catalog.types[machine.type].let { it != null && now - (knownAt[machine.id] ?: Moment.NEVER) < it.boot * LATE_BOOT }
-    }
-
     private fun rest(input: RoundInput, output: RoundOutput, began: Moment) {
         val ended = clock.now()
         roundAgain = ended + maxOf(ROUND_LEAST, (ended - began) * ROUND_REST)
@@ -546,7 +529,7 @@
     }
 
     private fun usable(worker: WorkerState, now: Moment): Boolean =
-        worker.settled && worker.notice == null && !worker.sick && !worker.unreachable && now > worker.doubtedUntil && now > worker.drainedUntil && worker.id in cleared &&
+        worker.settled && worker.notice == null && !worker.sick && !worker.unreachable && now > worker.doubtedUntil && now > worker.drainedUntil && worker.id in roster.cleared &&
             now - worker.lastReport <= silence.suspectAfter && worker.releaseAsked == Moment.NEVER
 
     private fun assign(task: TaskId, machine: MachineId, join: Attempt?, now: Moment, held: Duration) {
@@ -580,8 +563,6 @@
         /** A call costs a connection; a report that is due sooner carries the commands for nothing. */
         val WORTH_CALLING = 1.seconds
 
-        /** "Usually 0.6 to 1.5 times" (PROTOCOL, "Controller nodes -> cloud"). */
-        const val LATE_BOOT = 1.5
         const val ATTEMPTS_PER_TERM_BITS = 24
         const val MAX_BATCHES = 64
         val SAVE_MARGIN = 1.seconds
--- /dev/null
+++ b/src/main/kotlin/org/elderhitch/workers/Roster.kt
@@ -0,0 +1,61 @@
+package org.elderhitch.workers
+
+import org.elderhitch.fleet.Catalog
+import org.elderhitch.fleet.Machine
+import org.elderhitch.time.Moment
+
+/** The machines of this term: those that are ours, those that may be given tasks, and those that are surely gone. */
+internal class Roster {
+    private val machines = HashMap<MachineId, Machine>()
+    private val rentedAt = HashMap<MachineId, Moment>()
+    private val mayRun = HashSet<MachineId>()
+    private val lost = HashSet<MachineId>()
+
+    val known: Map<MachineId, Machine> get() = machines
+
+    /** It is recorded that they are up. */
+    val cleared: Set<MachineId> get() = mayRun
+    val gone: Set<MachineId> get() = lost
+
+    fun newTerm() {
+        machines.clear()
+        rentedAt.clear()
+        mayRun.clear()
+        lost.clear()
+    }
+
+    fun census(mayRun: Collection<Machine>, fresh: Collection<Machine>, now: Moment) {
+        mayRun.forEach {
+            machines[it.id] = it
+            this.mayRun.add(it.id)
+        }
+        fresh.forEach { rented(it, now) }
+    }
+
+    fun rented(machine: Machine, now: Moment) {
+        machines[machine.id] = machine
+        rentedAt[machine.id] = now
+    }
+
+    fun clear(machine: MachineId) {
+        mayRun.add(machine)
+    }
+
+    fun lost(machine: MachineId) {
+        machines.remove(machine)
+        rentedAt.remove(machine)
+        mayRun.remove(machine)
+        lost.add(machine)
+    }
+
+    /** More machines are on their way up than are there. Those that are late may never come: nothing waits for them. */
+    fun mostlyBooting(catalog: Catalog, now: Moment): Boolean = mayRun.size < machines.values.count { machine ->
+        val since = rentedAt[machine.id]
+        machine.id !in mayRun && since != null && catalog.types[machine.type].let { it != null && now - since < it.boot * LATE_BOOT }
+    }
+
+    private companion object {
+        /** "Usually 0.6 to 1.5 times" (PROTOCOL, "Controller nodes -> cloud"). */
+        const val LATE_BOOT = 1.5
+    }
+}
