--- a/src/main/kotlin/org/elderhitch/fleet/Renter.kt
+++ b/src/main/kotlin/org/elderhitch/fleet/Renter.kt
@@ -96,6 +96,9 @@
 ) : Actor<FleetMessage>(scope) {
     private class Held(val machine: Machine, val intent: String, val hiredAt: Moment, val hiredHere: Boolean) {
         var failed = false
+
+        /** It came up in an earlier term. */
+        var upBefore = false
         var cameUp = false
         var releasing = false
     }
@@ -210,6 +213,7 @@
         for ((name, value) in recorded) decoded(name, value)?.let { intents[name] = it }
         for (intent in intents.values) {
             intent.machines?.forEach { hold(Machine(it, intent.market.type, intent.market.zone, intent.market.spot), intent.name, now) }
+            intent.up.forEach { held[it]?.upBefore = true }
         }
         tick()
     }
@@ -294,7 +298,7 @@
             }
         }
         // A machine that came up in an earlier term and hasn't been heard yet is silent: it doesn't boot, and isn't given up as slow.
-        val machines = held.values.filter { !it.releasing && !it.failed && (it.machine.id in uses || !wasUp(it)) }.map { PlannedMachine(it.machine, it.hiredAt, uses[it.machine.id]) }
+        val machines = held.values.filter { !it.releasing && !it.failed && (it.machine.id in uses || !wasUp(it)) }.map { PlannedMachine(it.machine, rentedBy(it), uses[it.machine.id]) }
         val headroom = headroom(demand, now)
         ports.foreman(ForemanMessage.KeepFree(headroom.filter { it.free }.map { KeptFree(it.spec, it.tasks) }))
         val output = FleetPlan(
@@ -329,6 +333,12 @@
         catalog.types.keys.flatMap { listOf(Market(it, zone, true), Market(it, zone, false)) }
     }
 
+    /**
+     * When it was rented at the latest. What came up in an earlier term has been paid for that long already: counted from
+     * the claim, idle machines were kept for another minute after each takeover.
+     */
+    private fun rentedBy(machine: Held): Moment = if (machine.upBefore) Moment.NEVER else machine.hiredAt
+
     private fun wasUp(machine: Held): Boolean = intents[machine.intent]?.let { machine.machine.id in it.up } ?: false
 
     private fun headroom(demand: FleetMessage.Demand, now: Moment): List<Headroom> =
--- a/src/test/kotlin/org/elderhitch/app/ControllersTest.kt
+++ b/src/test/kotlin/org/elderhitch/app/ControllersTest.kt
@@ -292,6 +292,20 @@
         assertRulesKept()
     }
 
+    /** Seen: up to 32 idle machines of 145 kept for 60 s after a takeover, as if they had been rented at the claim. */
+    @Test
+    fun `a takeover doesn't keep idle machines as if it had just rented them`() = world {
+        submit("req-1", "array", 36, 40.0, mapOf("cores" to 40.0))
+        until("machines up", 60.seconds) { onMachine.size >= 12 }
+        val machines = platform.cloud.machines().size
+        delay(25.seconds)
+        assertEquals(200, ask("POST", "/work/req-1/withdraw").first)
+        val leader = assertNotNull(leader())
+        crash(leader)
+        until("another leads", 15.seconds) { leader().let { it != null && it != leader } }
+        until("surplus returned", 40.seconds) { platform.cloud.machines().size < machines / 2 }
+    }
+
     /** All that a leader has to hear lies in the buffers when it wakes up: nobody has been silent but itself. */
     @Test
     fun `a leader that stood still for less than its window goes on leading, and returns nothing`() = world {
