--- a/src/test/kotlin/org/elderhitch/app/ControllersTest.kt
+++ b/src/test/kotlin/org/elderhitch/app/ControllersTest.kt
@@ -361,6 +361,38 @@
         }
     }
 
+    /** The most tasks that a job may have, without accelerators and for a fraction of a processor each. */
+    @Test
+    fun `a job of 100,000 small tasks runs through a crash, and is withdrawn in time`() = world {
+        val small = mapOf("cores" to 0.25, "accelerators" to 0.0, "memGb" to 0.5)
+        submit("req-1", "array", 100_000, 3.0, small)
+        assertEquals(400, ask("POST", "/work", Rehearsal.exampleJob("req-2", "array") + small + ("crates" to 100_001)).first)
+        until("hundreds run", 60.seconds) { onMachine.size >= 400 }
+        val leader = assertNotNull(leader())
+        crash(leader)
+        until("another leads", 15.seconds) { leader().let { it != null && it != leader } }
+        val before = startsOf.size
+        until("more are started", 30.seconds) { startsOf.size > before + 1000 }
+        assertEquals("running", standing("req-1"))
+        assertEquals("withdrawn", ask("POST", "/work/req-1/withdraw").second["standing"])
+        val started = startsOf.toMap()
+        until("all are gone", 41.seconds) { onMachine.isEmpty() }
+        delay(10.seconds)
+        assertTrue(startsOf.size - started.size < 400, "starts that were under way at most: ${startsOf.size - started.size}")
+        assertTrue(onMachine.isEmpty())
+        assertRulesKept()
+    }
+
+    @Test
+    fun `hundreds of questions for jobs that are and are not there are all answered`() = world {
+        submit("req-1", "daemon", 1, 0.0)
+        until("it runs", 60.seconds) { onMachine.size == 1 && standing("req-1") == "running" }
+        repeat(300) { n ->
+            assertEquals(404, ask("GET", "/work/req-none-${n % 20}", node = names[n % 3]).first)
+            assertEquals("running", ask("GET", "/work/req-1", node = names[n % 3]).second["standing"])
+        }
+    }
+
     /** All that a leader has to hear lies in the buffers when it wakes up: nobody has been silent but itself. */
     @Test
     fun `a leader that stood still for less than its window goes on leading, and returns nothing`() = world {
