--- a/src/main/kotlin/org/elderhitch/standin/StateStandIn.kt
+++ b/src/main/kotlin/org/elderhitch/standin/StateStandIn.kt
@@ -33,6 +33,10 @@
             field = value
         }
 
+    /** How many puts and drops were carried out. */
+    public var changes: Long = 0
+        private set
+
     public fun keys(): Set<String> = items.keys.toSet()
 
     /** The value of a key; null: absent. */
@@ -109,6 +113,7 @@
         if (writes.any { w -> w.longOrNull("permit")?.let { it !in leases } == true }) return HttpServer.refusal(BAD, "no such lease")
         if (failed.isNotEmpty()) return Response(CONFLICT, Json.bytes(linkedMapOf("failed" to failed, "ledgerMark" to revision)))
         if (writes.isNotEmpty()) revision++
+        changes += writes.size
         for (write in writes) {
             val key = write.stringOrNull("put")
             if (key == null) {
