lab drmaa: waits are measured from the moment that an ending is put

Cause: the account's end is stamped before the write, so that a write whose answer is lost counted two seconds of the network's as the wait's. Change: the stand-in tells when a key is put.

--- a/src/main/kotlin/org/elderhitch/standin/StateStandIn.kt
+++ b/src/main/kotlin/org/elderhitch/standin/StateStandIn.kt
@@ -33,6 +33,9 @@
             field = value
         }
 
+    /** Told of each key that is put, when it is. */
+    public var onPut: (String) -> Unit = {}
+
     /** How many puts and drops were carried out. */
     public var changes: Long = 0
         private set
@@ -120,6 +123,7 @@
                 drop(write.string("drop"))
             } else {
                 items[key] = Item(write.raw("value"), revision, write.longOrNull("permit"))
+                onPut(key)
                 remember(Event(key, true, write.raw("value"), revision))
             }
         }
