--- a/src/main/kotlin/org/elderhitch/drmaa/Reaper.kt
+++ b/src/main/kotlin/org/elderhitch/drmaa/Reaper.kt
@@ -13,6 +13,7 @@
 import org.elderhitch.store.ReadOutcome
 import org.elderhitch.store.StateClient
 import org.elderhitch.store.Write
+import org.slf4j.LoggerFactory
 
 /** A result as its client is told it. */
 public class Result(public val name: ResultName, public val ended: Ending, public val record: EndRecord?) {
@@ -34,6 +35,8 @@
  * since the block says by which request a result was taken; and a transaction that is carried out late finds another version as well.
  */
 public class Reaper(private val book: SessionBook, private val client: StateClient, private val desk: JobDesk) {
+    private val log = LoggerFactory.getLogger("elderhitch.drmaa")
+
     /** Takes results of one block; all of them, or none. */
     public suspend fun take(key: ReapKey, results: Collection<ResultName>, request: RequestId?, purpose: Purpose = Purpose.RECORD): Reaped {
         repeat(TRIES) {
@@ -47,6 +50,7 @@
             when (outcome) {
                 is CommitOutcome.Committed -> {
                     book.tell(BookMessage.Took(key, next.at(outcome.revision)))
+                    if (log.isDebugEnabled) log.debug("results taken request={} results={}", request, results)
                     return Reaped.Taken(results)
                 }
                 // Somebody else's, or an earlier try of this one: what the state service holds now decides.
--- a/src/main/kotlin/org/elderhitch/lab/DrmaaLab.kt
+++ b/src/main/kotlin/org/elderhitch/lab/DrmaaLab.kt
@@ -190,9 +190,23 @@
 
         fun numberOf(id: String): Int? = numbers[id]
 
+        /** Answers about jobs whose submission has not been answered yet: that may take longer than the job itself. */
+        private val early = HashMap<String, Pair<String, Moment>>()
+
         protected fun accepted(job: MixJob, id: String) {
             ids[job.number] = id
             numbers[id] = job.number
+            early.remove(id)?.let { (word, at) -> answered(id, word, at) }
+        }
+
+        protected fun answered(id: String, word: String, at: Moment) {
+            val number = numberOf(id)
+            if (number == null) {
+                early[id] = word to at
+                return
+            }
+            answeredAt[number] = at
+            tell(number, word)
         }
 
         protected fun tell(number: Int, word: String) {
@@ -214,6 +228,7 @@
             val limit = world.clock.now() + LIMIT
             while (told.size < mix.size && world.clock.now() < limit) delay(1.seconds)
             delay(AFTERMATH)
+            mix.filter { it.number !in told }.take(SHOWN).forEach { progress("no answer for ${ids[it.number]}, job ${it.number} of kind ${it.kind}") }
             return mix.map { job -> MixOutcome(told[job.number], ids[job.number]?.let { world.ending(it) }) }
         }
     }
@@ -269,9 +284,7 @@
                     check(again?.body?.raw("job") == answer.body.raw("job")) { "request $request got ${answer.body.raw("job")}, then ${again?.body?.raw("job")}" }
                 }
                 if (requests.put(answer.body.string("job"), request) != null) reapedTwice++
-                val number = numberOf(id) ?: continue
-                answeredAt[number] = world.clock.now()
-                tell(number, if (answer.body.raw("done") == true) "done" else "withdrawn")
+                answered(id, if (answer.body.raw("done") == true) "done" else "withdrawn", world.clock.now())
             }
         }
 
