--- a/src/main/kotlin/org/elderhitch/jobs/Account.kt
+++ b/src/main/kotlin/org/elderhitch/jobs/Account.kt
@@ -5,8 +5,8 @@
 import org.elderhitch.time.WallTime
 
 /**
- * What became of a job's work, written with its ending. Seconds are task-seconds as the leader saw them: to within a
- * report's time at each end of a run. [lowerBound]: part of it happened under an earlier term, or unseen by the node that
+ * What became of a job's work, written with its ending. Seconds are task-seconds as the leader saw them: each end of a
+ * run to within the time between two reports that reached a leader. [lowerBound]: part of it happened under an earlier term, or unseen by the node that
  * wrote this, so there was at least as much of everything.
  */
 public data class Account(
