--- a/src/main/kotlin/org/elderhitch/lab/DrmaaLab.kt
+++ b/src/main/kotlin/org/elderhitch/lab/DrmaaLab.kt
@@ -66,6 +66,8 @@
         val (drmaa, drmaaChanges) = path(mix, drmaa = true)
         val pairs = native.zip(drmaa)
         val waited = waits.sorted()
+        pairs.zip(mix).filter { (pair, job) -> !alike(job, pair.first.record, pair.second.record) }.take(SHOWN)
+            .forEach { (pair, job) -> progress("accounts of job ${job.number} (${job.kind}) differ: ${pair.first.record} and ${pair.second.record}") }
         val figures = linkedMapOf<String, Any?>(
             "lab" to "drmaa", "seed" to seed, "jobs" to size,
             "answers_differ" to pairs.count { (a, b) -> a.told != b.told || a.record?.how != b.record?.how || a.told != a.record?.how?.name?.lowercase() },
--- a/src/main/kotlin/org/elderhitch/workers/Foreman.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Foreman.kt
@@ -1,22 +1,16 @@
 package org.elderhitch.workers
 
-import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.elderhitch.actor.Actor
 import org.elderhitch.fleet.Catalog
 import org.elderhitch.fleet.FleetMessage
-import org.elderhitch.fleet.Machine
-import org.elderhitch.http.Address
 import org.elderhitch.jobs.Account
 import org.elderhitch.jobs.ClassRules
 import org.elderhitch.jobs.FinishedTasks
-import org.elderhitch.jobs.Hold
-import org.elderhitch.jobs.HoldKind
 import org.elderhitch.jobs.Image
 import org.elderhitch.jobs.JobEvent
-import org.elderhitch.jobs.JobId
 import org.elderhitch.jobs.TaskId
 import org.elderhitch.leadership.LeadershipMessage
 import org.elderhitch.leadership.Tenure
@@ -32,7 +26,6 @@
 import org.elderhitch.settings.TeamName
 import org.elderhitch.settings.WorkerTimes
 import org.elderhitch.settings.Zone
-import org.elderhitch.store.Revision
 import org.elderhitch.time.Moment
 import org.elderhitch.time.SteadyClock
 import org.elderhitch.time.WallClock
@@ -41,113 +34,6 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-public sealed interface ReportAnswer {
-    public data class Accepted(val term: Term, val commands: List<Command>) : ReportAnswer
-
-    /** Another node leads; null: this node can't say which. */
-    public data class Elsewhere(val leader: NodeName?) : ReportAnswer
-}
-
-public sealed interface ForemanMessage {
-    public data class ReportIn(val report: Report, val reply: CompletableDeferred<ReportAnswer>) : ForemanMessage
-    public data class Job(val event: JobEvent) : ForemanMessage
-    public data class TenureIs(val tenure: Tenure) : ForemanMessage
-
-    /** The table of jobs holds all that was recorded before the claim. */
-    public data class TableComplete(val term: Term) : ForemanMessage
-
-    /** All machines that may run something of an earlier term, and those that never were given anything. */
-    public data class Census(val term: Term, val mayRun: Collection<Machine>, val fresh: Collection<Machine>) : ForemanMessage
-
-    /** A machine that is ours to use, its intent being recorded. */
-    public data class MachineKnown(val machine: Machine) : ForemanMessage
-
-    /** It is recorded that the machine may be given tasks, so a later term waits for its word. */
-    public data class MachineCleared(val machine: MachineId) : ForemanMessage
-
-    /** Surely gone, with all on it. */
-    public data class MachineGone(val machine: MachineId, val proof: String) : ForemanMessage
-    public data class CatalogIs(val catalog: Catalog) : ForemanMessage
-
-    /** What an earlier leader left behind about images on machines. */
-    public data class ImagesHinted(val images: Map<MachineId, Map<Image, Double>>) : ForemanMessage
-
-    /** The former leader has surely stopped answering workers by now. */
-    public data class FormerStopped(val term: Term) : ForemanMessage
-    /** Room that less important work leaves alone. */
-    public data class KeepFree(val kept: List<KeptFree>) : ForemanMessage
-    public data class Recorded(val term: Term, val finished: Map<JobId, List<Int>>) : ForemanMessage
-
-    /** A machine that could be emptied, by what the fleet needs. */
-    public data class Drain(val machine: MachineId) : ForemanMessage
-
-    /** Where the cloud says that machines are. */
-    public data class MachinesListed(val where: Map<MachineId, Address?>) : ForemanMessage
-
-    /** What a worker said that was asked at its own address. */
-    public data class Asked(val term: Term, val machine: MachineId, val outcome: CommandOutcome) : ForemanMessage
-
-    /** What became of commands sent to a worker's own address. */
-    public data class Commanded(
-        val term: Term,
-        val machine: MachineId,
-        val session: Long,
-        val starts: Set<Pair<TaskId, Attempt>>,
-        val outcome: CommandOutcome,
-    ) : ForemanMessage
-    /** The wish to hold a job: only the leader knows whether something of it was started. */
-    public data class HoldJob(val id: JobId, val kind: HoldKind, val reason: String, val reply: CompletableDeferred<HoldAnswer>) : ForemanMessage
-    public data class HoldWritten(val term: Term, val id: JobId, val outcome: HoldWrite) : ForemanMessage
-
-    /** What this term has seen of a job's work; null: this node doesn't lead, or doesn't know the job. */
-    public data class AccountOf(val id: JobId, val reply: CompletableDeferred<Account?>) : ForemanMessage
-
-    /** Why a job stands as it does; null as for [AccountOf]. */
-    public data class Explain(val id: JobId, val reply: CompletableDeferred<List<String>?>) : ForemanMessage
-    public data object Tick : ForemanMessage
-}
-
-/** What the foreman asks of others, all of it by message. */
-public interface ForemanPorts {
-    public fun fleet(message: FleetMessage)
-
-    public fun leadership(message: LeadershipMessage)
-
-    public fun record(tenure: Tenure.Leading, finished: List<FinishedBatch>)
-
-    /** The finished blocks of an ended job are of no more use. */
-    public fun forget(tenure: Tenure.Leading, job: JobId, blocks: Set<Int>)
-
-    /** Leaves word of the images on machines for a later term. */
-    public fun hint(tenure: Tenure.Leading, images: Map<MachineId, Map<Image, Double>>)
-
-    /** Sends commands to a worker's own address; what becomes of them comes back as [ForemanMessage.Commanded]. */
-    public fun command(tenure: Tenure.Leading, to: Address, machine: MachineId, session: Long, commands: List<Command>)
-
-    /** Asks a worker at its own address, and tells it the term; its word comes back as [ForemanMessage.Asked]. */
-    public fun ask(tenure: Tenure.Leading, at: Address, machine: MachineId)
-
-    public fun running(counts: Map<JobId, Int>)
-
-    /** Records a hold over what stands under its key at version [before]; what becomes of it comes back as [ForemanMessage.HoldWritten]. */
-    public fun hold(tenure: Tenure.Leading, job: JobId, version: Revision, before: Revision, hold: Hold)
-
-    public fun forgetHold(tenure: Tenure.Leading, job: JobId)
-}
-
-/** Newly finished tasks of one job, to be recorded in the state service. */
-public class FinishedBatch(
-    public val job: JobId,
-    public val version: Revision,
-    public val state: FinishedTasks,
-    public val fresh: List<Int>,
-    /** Of a job that is complete. */
-    public val account: Account? = null,
-    public val held: Boolean = false,
-    /** Of the blocks that are recorded already. */
-    public val blockVersions: Map<Int, Revision> = emptyMap(),
-)
-
 /**
  * The leader's view of workers and tasks: rebuilt from reports in each term, changed by reports and rounds. Follows the
  * jobs in every role, so that a new term begins with a complete table.
