Members of a gang that completed before they were ever reported count as started

Change: what completes together has started; a member that was not seen ran as long as the one that was.

--- a/src/main/kotlin/org/elderhitch/workers/Reconciler.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Reconciler.kt
@@ -90,13 +90,14 @@
     private fun seen(job: JobState, placement: Placement) {
         if (placement.certainty == Certainty.REPORTED) return
         placement.certainty = Certainty.REPORTED
-        job.tally.seenStarting(clock.now())
+        if (!placement.counted) job.tally.seenStarting(clock.now())
     }
 
     private fun finished(job: JobState, index: Int) {
         if (index in job.done) return
-        // Of a gang, all members have run: they complete together.
-        if (job.isGang) job.placements.values.forEach { job.tally.completed(it, clock.now()) } else job.placements[index]?.let { job.tally.completed(it, clock.now()) }
+        // Of a gang, all members have run, seen or not: they complete together.
+        val complete = if (job.isGang) job.placements.values else listOfNotNull(job.placements[index])
+        complete.forEach { job.tally.completed(it, clock.now(), job.placements[index]?.runsSince) }
         log.debug("task done task={}/{}", job.id, index)
         // A gang completes as a whole: one member's word is all members'.
         if (job.isGang) repeat(job.spec.tasks) { job.done.add(it) } else job.done.add(index)
--- a/src/main/kotlin/org/elderhitch/workers/Tally.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Tally.kt
@@ -28,9 +28,11 @@
         if (now < firstStart) firstStart = now
     }
 
-    fun completed(placement: Placement, now: Moment) {
+    /** [alike]: when a task that it ran together with was first seen running, for one that was not seen at all. */
+    fun completed(placement: Placement, now: Moment, alike: Moment?) {
+        if (placement.certainty != Certainty.REPORTED) seenStarting(now)
         placement.counted = true
-        useful += ran(placement, now)
+        useful += (placement.runsSince ?: alike)?.let { now - it } ?: Duration.ZERO
     }
 
     /** The task is no longer on its machine, and [completed] was not called for it. */
