--- a/src/test/kotlin/org/elderhitch/app/HoldsAndAccountsTest.kt
+++ b/src/test/kotlin/org/elderhitch/app/HoldsAndAccountsTest.kt
@@ -46,6 +46,18 @@
         assertRulesKept()
     }
 
+    /** Seen in `lab drmaa --seed 3`: one member told of the end before the others' starts had been reported, and they were never counted. */
+    @Test
+    fun `short gangs count all their members`() {
+        for (seed in 1L..5L) world(WorldSettings(seed = seed)) {
+            submit("req-0", "daemon", 2, 0.0, mapOf("spread" to true))
+            until("machines are up", 60.seconds) { onMachine.size == 2 }
+            for (n in 1..8) submit("req-$n", "gang", 3, 0.1)
+            until("done", 90.seconds) { (1..8).all { standing("req-$it") == "done" } }
+            for (n in 1..8) assertEquals(3L, ending("req-$n").account?.attempts, "seed $seed, req-$n")
+        }
+    }
+
     @Test
     fun `lost attempts are counted, and a takeover makes the account a lower bound`() = world {
         submit("req-1", "array", 2, 20.0)
