DRMAA: results that are taken are passed no more; tests of full nodes, other networks, a late start

Cause: reading the change again: each wait for any result walked over all that were taken behind one long job, and over the taken members of a bulk job, so 50,000 results would have cost milliseconds a wait on a whole core. Change: jobs whose results are all taken are skipped by bits, members by where the first one left is.

--- a/deploy/features.lua
+++ b/deploy/features.lua
@@ -6,4 +6,7 @@
   classes = {
     ["route-train"] = { repeats = false, attempts = 5 },
   },
+
+  -- DRMAA (docs/operations/drmaa.md) needs a key file on every controller, so it is not on here:
+  -- drmaa = { keys = "/etc/elderhitch/drmaa.keys", networks = { "10.0.0.0/8" }, categories = {} },
 }
--- a/src/main/kotlin/org/elderhitch/drmaa/SessionState.kt
+++ b/src/main/kotlin/org/elderhitch/drmaa/SessionState.kt
@@ -22,6 +22,9 @@
     private class Members(val count: Int) {
         val finished = FinishedTasks(count)
         var ending: Ending? = null
+
+        /** All before it are taken, for ever: they are passed no more. */
+        var firstLeft = 0
     }
 
     private class Client {
@@ -30,13 +33,22 @@
         val ended = BitSet()
         val bulks = TreeMap<Int, Members>()
 
-        /** Results of the session may be looked for from here on; what lies before is taken. */
-        var firstUntaken = 0
-
-        /** Numbers may become known in any order: a repeat of an earlier request may be recorded after a later one. */
-        fun seen(number: Int) {
-            firstUntaken = minOf(firstUntaken, number)
+        /** Ended, and all of its results are taken: found out when it is next passed, and then passed no more. */
+        val gone = BitSet()
+
+        /** The first job from [from] on that may have results left; -1: none. */
+        fun next(from: Int): Int {
+            var at = from
+            while (true) {
+                val first = open.nextSetBit(at)
+                val second = ended.nextSetBit(at)
+                val n = if (first < 0) second else if (second < 0) first else minOf(first, second)
+                if (n < 0 || !gone[n]) return n
+                at = gone.nextClearBit(n)
+            }
         }
+
+        fun left(): Sequence<Int> = generateSequence(next(0).takeIf { it >= 0 }) { n -> next(n + 1).takeIf { it >= 0 } }
     }
 
     private val clients = TreeMap<ClientTag, Client>()
@@ -53,13 +65,11 @@
         val client = client(job.tag)
         if (differs(job)) return
         client.bulk(job)
-        client.seen(job.number)
         if (!client.ended[job.number]) client.open.set(job.number)
     }
 
     public fun ended(job: JobName, how: Ending) {
         val client = client(job.tag)
-        client.seen(job.number)
         client.open.clear(job.number)
         client.ended.set(job.number)
         client.bulk(job)?.ending = how
@@ -101,29 +111,21 @@
     /** The first result that has ended, is not taken, and is not just being taken. */
     public fun anyEnded(): ResultName? {
         for ((tag, client) in clients) {
-            var n = nextJob(client, client.firstUntaken)
-            var allBefore = true
-            while (n >= 0) {
-                val found = endedIn(tag, client, n)
-                if (found != null) return found
-                allBefore = allBefore && allTaken(tag, client, n)
-                if (allBefore) client.firstUntaken = n + 1
-                n = nextJob(client, n + 1)
+            for (n in client.left()) {
+                endedIn(tag, client, n)?.let { return it }
+                if (allTaken(tag, client, n)) client.gone.set(n)
             }
         }
         return null
     }
 
-    private fun nextJob(client: Client, from: Int): Int {
-        val open = client.open.nextSetBit(from)
-        val ended = client.ended.nextSetBit(from)
-        return if (open < 0) ended else if (ended < 0) open else minOf(open, ended)
-    }
-
+    /** Those of a job that may not be taken yet. */
     private fun results(tag: ClientTag, client: Client, n: Int): Sequence<ResultName> {
         val members = client.bulks[n]
         val job = JobName(name, tag, n, members?.count)
-        return if (members == null) sequenceOf(ResultName(job, null)) else (0 until members.count).asSequence().map { ResultName(job, it) }
+        if (members == null) return sequenceOf(ResultName(job, null))
+        while (members.firstLeft < members.count && ResultName(job, members.firstLeft).let { it.place in block(it.block) }) members.firstLeft++
+        return (members.firstLeft until members.count).asSequence().map { ResultName(job, it) }
     }
 
     private fun endedIn(tag: ClientTag, client: Client, n: Int): ResultName? {
@@ -136,10 +138,7 @@
         client.ended[n] && results(tag, client, n).all { stateOf(it) == ResultState.TAKEN }
 
     /** Whether anything of the session is left to wait for. */
-    public fun anyLeft(): Boolean = clients.any { (tag, client) ->
-        generateSequence(nextJob(client, client.firstUntaken).takeIf { it >= 0 }) { n -> nextJob(client, n + 1).takeIf { it >= 0 } }
-            .any { n -> results(tag, client, n).any { stateOf(it) != ResultState.TAKEN } }
-    }
+    public fun anyLeft(): Boolean = clients.any { (tag, client) -> client.left().any { n -> results(tag, client, n).any { stateOf(it) != ResultState.TAKEN } } }
 
     public fun claim(result: ResultName): Boolean = claimed.add(result)
 
@@ -175,7 +174,7 @@
     /** Results that have ended and are not taken, of jobs up to [upTo]. */
     public fun untaken(upTo: Map<ClientTag, Int>? = null): Sequence<ResultName> = clients.asSequence().flatMap { (tag, client) ->
         val most = if (upTo == null) Int.MAX_VALUE else upTo[tag] ?: -1
-        generateSequence(nextJob(client, client.firstUntaken).takeIf { it >= 0 }) { n -> nextJob(client, n + 1).takeIf { it >= 0 } }
+        client.left()
             .takeWhile { it <= most }.flatMap { n -> results(tag, client, n) }.filter { stateOf(it) == ResultState.ENDED }
     }
 
--- a/src/test/kotlin/org/elderhitch/drmaa/SessionsInVirtualTimeTest.kt
+++ b/src/test/kotlin/org/elderhitch/drmaa/SessionsInVirtualTimeTest.kt
@@ -425,5 +425,39 @@
         assertEquals(404, ask("POST", "/drmaa/status", mapOf("token" to tokens.issue(Claim.InSession(TeamName("team"), SessionName("b".repeat(12)))), "job" to job)).first)
     }
 
+    @Test
+    fun `the leader dies between a job's end and its reap, and the others know the result`() = drmaa { settings ->
+        val client = client(settings)
+        val jobs = List(3) { client.submitted(short) }
+        until("done", 90.seconds) { jobs.all { platform.state.value(Keys.end(JobId(it))) != null } }
+        crash(assertNotNull(leader()))
+        assertEquals(jobs.toSet(), List(3) { assertNotNull(client.wait(WireClient.ANY, 60.seconds)).body.string("job") }.toSet())
+        // A node that starts now has seen nothing of it, and reads what it needs.
+        val gone = names.first { ask("POST", "/drmaa/nowhere", emptyMap(), node = it).first == 503 }
+        startNode(gone)
+        until("it is up", 20.seconds) { client.ask("status", mapOf("job" to jobs[0]), 1.seconds, gone).status == 200 }
+        assertEquals("InvalidJobException", client.wait(jobs[1], 20.seconds, node = gone)?.fault)
+    }
+
+    @Test
+    fun `more waits than a node has room for are refused at once, with when to come back`() = drmaa { settings ->
+        val client = client(settings)
+        client.submitted(mapOf("category" to "long"))
+        val from = clock.now()
+        // A quarter of the 1,024 sockets that settings without a limit mean.
+        val waits = List(300) { n -> backgroundly { client.ask("wait", mapOf("request" to "clientaa-${1000 + n}", "job" to WireClient.ANY, "holdMs" to 15_000), 0.seconds, "n1") to clock.now() - from } }.map { it.await() }
+        val refused = waits.filter { it.first.status == 503 }
+        assertEquals(300 - 256, refused.size)
+        assertTrue(refused.all { it.first.fault == "TryLaterException" && it.second < 1.seconds })
+        assertTrue(waits.filter { it.first.status == 200 }.all { it.second > 14.seconds })
+    }
+
+    @Test
+    fun `clients of other networks are refused before anything else is looked at`() =
+        drmaa(settings { DrmaaSettings(it.tokens, Networks.of(listOf("10.0.0.0/8")), it.categories) }) { settings ->
+            assertEquals(403, ask("POST", "/drmaa/open", mapOf("token" to "nonsense")).first)
+            assertEquals(403, ask("POST", "/drmaa/open", mapOf("token" to WireClient.grant(settings), "nonce" to "nonce-for-me")).first)
+        }
+
     private fun <T> World.backgroundly(body: suspend () -> T) = outside.async { body() }
 }
