"All jobs so far" is said once: a held job no longer lowers it for synchronize

Cause: reading the change again: synchronize worked out the highest job of each client by itself, beside Control, and a held job with a lower number than the last submitted one took its place, so later jobs were not waited for. Change: SessionView.upTo serves both; two functions of SessionState that nobody called are gone.

--- a/src/main/kotlin/org/elderhitch/drmaa/Control.kt
+++ b/src/main/kotlin/org/elderhitch/drmaa/Control.kt
@@ -135,9 +135,8 @@
         return Progress(done, 0, refused)
     }
 
-    public suspend fun upTo(session: SessionName): Map<ClientTag, Int> = book.look(session) { view ->
-        view.state.upTo().toMutableMap().apply { view.heldJobs().forEach { merge(it.tag, it.number, ::maxOf) } }
-    } ?: throw Refused(Fault.NoActiveSessionException, "the session was closed")
+    public suspend fun upTo(session: SessionName): Map<ClientTag, Int> = book.look(session) { it.upTo() }
+        ?: throw Refused(Fault.NoActiveSessionException, "the session was closed")
 
     /** Throws [Refused]. */
     public suspend fun status(result: ResultName): ProgramStatus {
--- a/src/main/kotlin/org/elderhitch/drmaa/SessionBook.kt
+++ b/src/main/kotlin/org/elderhitch/drmaa/SessionBook.kt
@@ -83,6 +83,9 @@
 
     public fun heldJobs(): List<JobName> = held.keys.filter { it.session == state.name }
 
+    /** The highest number of each client, held jobs included: what "all jobs so far" are. */
+    public fun upTo(): Map<ClientTag, Int> = state.upTo().toMutableMap().apply { heldJobs().forEach { merge(it.tag, it.number, ::maxOf) } }
+
     public fun heldOfTeam(sessions: Set<SessionName>): Int = held.keys.count { it.session in sessions }
 }
 
--- a/src/main/kotlin/org/elderhitch/drmaa/SessionState.kt
+++ b/src/main/kotlin/org/elderhitch/drmaa/SessionState.kt
@@ -181,10 +181,4 @@
     /** Open jobs and results that nobody took, a bulk job by its members; what the bound of a session counts. */
     public fun load(): Int =
         clients.values.sumOf { it.open.cardinality() + it.ended.cardinality() + it.bulks.values.sumOf { bulk -> bulk.count - 1 } } - blocks.values.sumOf { it.count }
-
-    /** All bulk jobs that are known: their finished blocks are kept until the session goes. */
-    public fun bulks(): Sequence<JobName> =
-        clients.asSequence().flatMap { (tag, client) -> client.bulks.asSequence().map { (number, members) -> JobName(name, tag, number, members.count) } }
-
-    public fun reapKeys(): Set<ReapKey> = blocks.keys
 }
--- a/src/main/kotlin/org/elderhitch/drmaa/Waits.kt
+++ b/src/main/kotlin/org/elderhitch/drmaa/Waits.kt
@@ -82,7 +82,7 @@
      * time: one change for up to 4,096. Throws [Refused].
      */
     public suspend fun all(session: SessionName, names: Collection<ResultName>?, upTo: Map<ClientTag, Int>?, request: RequestId, dispose: Boolean, hold: Duration): WaitAnswer {
-        val bound = upTo ?: look(session) { it.state.upTo() + it.heldJobs().groupBy { job -> job.tag }.mapValues { (_, jobs) -> jobs.maxOf { job -> job.number } } }
+        val bound = upTo ?: look(session) { it.upTo() }
         return until(session, hold, bound) {
             val mine = if (names == null) null else names.filter { name -> mine(name, request, dispose) }
             val ready = if (mine == null) {
