--- /dev/null
+++ b/deploy/features.lua
@@ -0,0 +1,9 @@
+-- What is switched on beyond the core (docs/design/features.md). `serve --features deploy/features.lua` reads it once, at start;
+-- a mistake in it ends the process with exit code 2 and a message that names file, line and key.
+return {
+  -- Rules of job classes. repeats: whether a job may be submitted again from an earlier one. attempts: how often a task may be
+  -- started and fail or be lost before its job is held (`elderhitch explain` says so, `elderhitch release` lets it go on).
+  classes = {
+    ["route-train"] = { repeats = false, attempts = 5 },
+  },
+}
--- a/src/main/kotlin/org/elderhitch/app/Commands.kt
+++ b/src/main/kotlin/org/elderhitch/app/Commands.kt
@@ -13,6 +13,7 @@
 import org.elderhitch.http.HttpClient
 import org.elderhitch.http.Response
 import org.elderhitch.http.channelGroup
+import org.elderhitch.json.Json
 import org.elderhitch.time.SystemSteadyClock
 import java.io.File
 import java.io.IOException
@@ -22,10 +23,11 @@
 internal class Serve : CoreCliktCommand(name = "serve") {
     private val config by option("--config", help = "the platform's settings file, JSON").required()
     private val policy by option("--policy", help = "the operators' own settings, a Lua script")
+    private val features by option("--features", help = "what is switched on beyond the core, a Lua script")
 
     override fun help(context: Context): String = "Run a controller until it is killed"
 
-    override fun run(): Unit = Daemon.run(config, policy)
+    override fun run(): Unit = Daemon.run(config, policy, features)
 }
 
 /** A command that asks a controller something and prints its answer. */
@@ -84,6 +86,23 @@
     override fun run(): Unit = ask("POST", "/work/$id/withdraw", ByteArray(0))
 }
 
+internal class Explain : Ask("explain") {
+    private val id by argument(help = "the job's id")
+
+    override fun help(context: Context): String = "Tell why a job stands as it does"
+
+    override fun run(): Unit = ask("GET", "/explain/$id")
+}
+
+internal class Release : Ask("release") {
+    private val id by argument(help = "the job's id")
+    private val reason by option("--reason", help = "why it may go on; kept in the log").required()
+
+    override fun help(context: Context): String = "Let a job go on that the rule of its class held"
+
+    override fun run(): Unit = ask("POST", "/release/$id", Json.bytes(mapOf("reason" to reason)))
+}
+
 internal class Status : Ask("status") {
     override fun help(context: Context): String = "Show a controller's role, counters and timers"
 
--- a/src/main/kotlin/org/elderhitch/app/Daemon.kt
+++ b/src/main/kotlin/org/elderhitch/app/Daemon.kt
@@ -5,14 +5,18 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.launch
+import org.elderhitch.features.Features
+import org.elderhitch.features.FeaturesFile
 import org.elderhitch.fleet.FleetPolicy
 import org.elderhitch.http.HttpClient
 import org.elderhitch.http.HttpServer
 import org.elderhitch.http.channelGroup
 import org.elderhitch.json.MalformedJson
+import org.elderhitch.settings.BadScript
 import org.elderhitch.settings.PolicyScript
 import org.elderhitch.settings.Settings
 import org.elderhitch.time.SystemSteadyClock
+import org.elderhitch.time.SystemWallClock
 import org.slf4j.LoggerFactory
 import java.io.File
 import java.io.IOException
@@ -38,6 +42,14 @@
         exitProcess(EXIT_SETTINGS)
     }
 
+    /** What is switched on, or the end of the process: users rely on it, so it isn't left out because of a mistake. */
+    private fun features(file: File): Features = try {
+        FeaturesFile.load(file)
+    } catch (e: BadScript) {
+        System.err.println("elderhitch: ${e.message}")
+        exitProcess(EXIT_SETTINGS)
+    }
+
     fun loop(): ScheduledThreadPoolExecutor =
         ScheduledThreadPoolExecutor(1) { task -> Thread(task, "loop") }.apply { removeOnCancelPolicy = true }
 
@@ -46,14 +58,15 @@
         return CoroutineScope(SupervisorJob() + loop.asCoroutineDispatcher() + failures)
     }
 
-    fun run(config: String, policyFile: String?) {
+    fun run(config: String, policyFile: String?, featuresFile: String?) {
         val settings = settings(config)
         val policy = if (policyFile == null) FleetPolicy() else PolicyScript.load(File(policyFile))
+        val features = if (featuresFile == null) Features.NONE else features(File(featuresFile))
         val loop = loop()
         val scope = scope(loop)
         val group = channelGroup(loop)
         val client = HttpClient(group, SystemSteadyClock)
-        val controller = Controller(scope, settings, policy, client, SystemSteadyClock, SecureRandom().asKotlinRandom())
+        val controller = Controller(scope, settings, policy, client, SystemSteadyClock, SystemWallClock, SecureRandom().asKotlinRandom(), features)
         val server = HttpServer(group, scope, SystemSteadyClock, (settings.maxSockets - OUTGOING_SOCKETS).coerceAtLeast(OUTGOING_SOCKETS))
         scope.launch {
             try {
--- a/src/main/kotlin/org/elderhitch/app/Edge.kt
+++ b/src/main/kotlin/org/elderhitch/app/Edge.kt
@@ -2,20 +2,25 @@
 
 import kotlinx.coroutines.CompletableDeferred
 import org.elderhitch.cluster.Cluster
+import org.elderhitch.features.FeatureSet
 import org.elderhitch.http.Handler
 import org.elderhitch.http.HttpServer
 import org.elderhitch.http.Request
 import org.elderhitch.http.Response
 import org.elderhitch.jobs.Answer
+import org.elderhitch.jobs.EndRecord
+import org.elderhitch.jobs.HoldKind
 import org.elderhitch.jobs.JobCodec
 import org.elderhitch.jobs.JobDesk
 import org.elderhitch.jobs.JobId
+import org.elderhitch.jobs.Known
 import org.elderhitch.json.Json
 import org.elderhitch.json.MalformedJson
 import org.elderhitch.workers.Foreman
 import org.elderhitch.workers.ForemanMessage
 import org.elderhitch.workers.ReportAnswer
 import org.elderhitch.workers.ReportCodec
+import org.slf4j.LoggerFactory
 import kotlin.time.Duration.Companion.seconds
 
 /** The address of users, workers and the load balancer's probes: paths and statuses, and nothing else. */
@@ -26,8 +31,12 @@
     private val reachesState: () -> Boolean,
     private val ready: () -> Boolean,
     private val meters: Meters,
+    private val features: FeatureSet,
+    private val leader: LeaderDesk,
     private val status: () -> Map<String, Any?>,
 ) : Handler {
+    private val log = LoggerFactory.getLogger("elderhitch.app")
+
     override suspend fun handle(request: Request): Response = when {
         request.path == "/checkin" -> only("POST", request) { report(request) }
         request.path == "/ready" -> only("GET", request) {
@@ -35,6 +44,7 @@
         }
         request.path == "/status" -> only("GET", request) { Response(OK, Json.bytes(status())) }
         request.path == "/work" || request.path.startsWith("/work/") -> meters.timed(request) { user(request) }
+        request.path.startsWith(EXPLAIN) || request.path.startsWith(RELEASE) || features.at(request.path) != null -> user(request)
         else -> HttpServer.refusal(NOT_FOUND, "no such path")
     }
 
@@ -56,11 +66,56 @@
     private suspend fun user(request: Request): Response {
         if (!reachesState()) cluster.forward(request)?.let { return it }
         val response = serveHere(request)
-        return if (response.status == BUSY) cluster.forward(request) ?: response else response
+        // What is full here is full everywhere.
+        return if (response.status == BUSY && response.body !== FULL) cluster.forward(request) ?: response else response
+    }
+
+    /** Answers without handing the request on to another controller. */
+    public suspend fun serveHere(request: Request): Response = when {
+        request.path.startsWith(EXPLAIN) -> only("GET", request) { explain(request.path.removePrefix(EXPLAIN)) }
+        request.path.startsWith(RELEASE) -> only("POST", request) { release(request) }
+        else -> features.at(request.path)?.handle(request) ?: work(request)
+    }
+
+    private suspend fun explain(text: String): Response {
+        val id = JobId.parse(text) ?: return answer(Answer.Unknown)
+        val shown = desk.show(id)
+        if (shown !is Answer.State && shown != Answer.Unknown) return answer(shown)
+        val said = features.explain(id)
+        if (shown !is Answer.State && said.isEmpty()) return answer(Answer.Unknown)
+        val lines = said + when (val known = if (shown is Answer.State) desk.lookup(id) else null) {
+            is Known.Ended -> ended(known.record)
+            is Known.Open -> leader.explain(id) ?: listOf("no leader answers here; nothing new is started until one does")
+            else -> emptyList()
+        }
+        val standing = (shown as? Answer.State)?.standing?.word
+        return Response(OK, Json.bytes(linkedMapOf("id" to id.text, "standing" to standing, "why" to lines)))
+    }
+
+    private fun ended(record: EndRecord): List<String> {
+        val account = record.account ?: return listOf("ended before accounts were kept")
+        val least = if (account.lowerBound) " at least" else ""
+        return listOf(
+            "${record.how.name.lowercase()} at ${account.end}, ${record.done} tasks done",
+            "started$least ${account.attempts} times, of which ${account.lost} were lost;$least ${account.usefulS} task-seconds useful, ${account.lostS} lost",
+        )
+    }
+
+    /** Lets a job go on that the rule of its class held. Who did it, and why, stands in the log. */
+    private suspend fun release(request: Request): Response {
+        val id = JobId.parse(request.path.removePrefix(RELEASE)) ?: return answer(Answer.Unknown)
+        val reason = try {
+            Json.parseObject(request.body).string("reason")
+        } catch (e: MalformedJson) {
+            return HttpServer.refusal(BAD, e.message.orEmpty())
+        }
+        if (reason.isBlank() || reason.length > LONGEST_REASON) return HttpServer.refusal(BAD, "reason: empty or over $LONGEST_REASON characters")
+        val released = desk.release(id) { it.kind == HoldKind.ATTEMPTS }
+        if (released is Answer.State) log.info("job released job={} from={} reason=\"{}\"", id, request.from, reason.filter { it >= ' ' && it != '"' })
+        return if (released == Answer.Unknown) HttpServer.refusal(NOT_FOUND, "no such job held by a rule") else answer(released)
     }
 
-    /** Answers without asking another controller. */
-    public suspend fun serveHere(request: Request): Response {
+    private suspend fun work(request: Request): Response {
         val rest = request.path.removePrefix("/work").removePrefix("/")
         return when {
             rest.isEmpty() -> only("POST", request) { answer(desk.submit(request.body)) }
@@ -83,6 +138,7 @@
         is Answer.NeverRuns -> HttpServer.refusal(UNPROCESSABLE, answer.reason)
         Answer.Unknown -> HttpServer.refusal(NOT_FOUND, "no such job")
         is Answer.NotNow -> HttpServer.refusal(BUSY, answer.reason, RETRY)
+        Answer.Full -> Response(BUSY, FULL, mapOf("Retry-After" to FULL_RETRY.inWholeSeconds.toString()))
     }
 
     private suspend fun only(method: String, request: Request, serve: suspend () -> Response): Response =
@@ -103,6 +159,11 @@
         const val UNPROCESSABLE = 422
         const val BUSY = 503
         const val WITHDRAW = "/withdraw"
+        const val EXPLAIN = "/explain/"
+        const val RELEASE = "/release/"
+        const val LONGEST_REASON = 300
+        val FULL = Json.bytes(mapOf("error" to "as many jobs are open as the controllers can hold"))
+        val FULL_RETRY = 10.seconds
 
         // What keeps a node from answering is mostly over within seconds, and the next node may do better at once.
         val RETRY = 1.seconds
--- a/src/main/kotlin/org/elderhitch/app/Main.kt
+++ b/src/main/kotlin/org/elderhitch/app/Main.kt
@@ -20,5 +20,5 @@
     Logging.configure(System.getenv("LOG_LEVEL"))
     // What the platform starts: "--config FILE" alone is "serve --config FILE".
     val words = if (args.firstOrNull() == "--config") arrayOf("serve", *args) else args
-    Elderhitch().subcommands(Serve(), Submit(), Show(), Withdraw(), Status(), StandIns(), Rehearse()).main(words)
+    Elderhitch().subcommands(Serve(), Submit(), Show(), Withdraw(), Explain(), Release(), Status(), StandIns(), Rehearse()).main(words)
 }
--- a/src/main/kotlin/org/elderhitch/app/Rehearsal.kt
+++ b/src/main/kotlin/org/elderhitch/app/Rehearsal.kt
@@ -15,6 +15,7 @@
 import org.elderhitch.standin.StandInPlatform
 import org.elderhitch.standin.TaskWatch
 import org.elderhitch.time.SystemSteadyClock
+import org.elderhitch.time.SystemWallClock
 import org.slf4j.LoggerFactory
 import java.io.IOException
 import java.net.InetAddress
@@ -91,7 +92,7 @@
         runBlocking {
             withContext(scope.coroutineContext) {
                 start(settings, scope, client, server)
-                val controller = Controller(scope, settings, FleetPolicy(), client, SystemSteadyClock, Random.Default)
+                val controller = Controller(scope, settings, FleetPolicy(), client, SystemSteadyClock, SystemWallClock, Random.Default)
                 controller.start()
                 server.listen(settings.clientListen, controller.clients)
                 server.listen(settings.clusterListen, controller.peers)
--- a/src/main/kotlin/org/elderhitch/cluster/Cluster.kt
+++ b/src/main/kotlin/org/elderhitch/cluster/Cluster.kt
@@ -13,6 +13,7 @@
 import org.elderhitch.http.Request
 import org.elderhitch.http.Response
 import org.elderhitch.http.Transport
+import org.elderhitch.jobs.Footprint
 import org.elderhitch.jobs.JobId
 import org.elderhitch.leadership.Former
 import org.elderhitch.leadership.Incarnation
@@ -23,6 +24,7 @@
 import org.elderhitch.time.Moment
 import org.elderhitch.time.SteadyClock
 import org.slf4j.LoggerFactory
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -39,6 +41,8 @@
     @ProtoNumber(5) val reachesState: Boolean,
     /** From the leader: how many tasks of each job run. */
     @ProtoNumber(6) val running: Map<String, Int> = emptyMap(),
+    /** What the node's memory can hold of open jobs, in bytes; 0 from an earlier version. */
+    @ProtoNumber(7) val bound: Long = 0,
 )
 
 /** A user's request that a node which the state service refuses hands to one that it doesn't. */
@@ -48,6 +52,8 @@
     @ProtoNumber(1) public val method: String,
     @ProtoNumber(2) public val path: String,
     @ProtoNumber(3) public val body: ByteArray,
+    /** The IP number that the request came from; empty: not said. */
+    @ProtoNumber(4) public val from: String = "",
 )
 
 @OptIn(ExperimentalSerializationApi::class)
@@ -66,6 +72,8 @@
 
     public fun running(): Map<JobId, Int>
 
+    public fun bound(): Footprint
+
     public fun termSeen(term: Term)
 
     public fun formerStopped(term: Term)
@@ -74,6 +82,9 @@
 
     /** Answers a user's request here, whatever it takes, without handing it on. */
     public suspend fun serve(request: Request): Response
+
+    /** Answers what another node asks of the leader. */
+    public suspend fun lead(request: Request): Response
 }
 
 @OptIn(ExperimentalSerializationApi::class)
@@ -89,6 +100,7 @@
     private class PeerState(val peer: Peer) {
         var reachesState = false
         var heard = Moment.NEVER
+        var bound: Footprint? = null
     }
 
     private val log = LoggerFactory.getLogger("elderhitch.cluster")
@@ -113,7 +125,7 @@
             is Tenure.Following -> tenure.term
         }
         val running = if (leading) ports.running().entries.associate { it.key.text to it.value } else emptyMap()
-        return Hello(self.text, incarnation.text, term.number, leading, ports.reachesState(), running)
+        return Hello(self.text, incarnation.text, term.number, leading, ports.reachesState(), running, ports.bound().bytes)
     }
 
     private suspend fun greet(state: PeerState) {
@@ -130,6 +142,8 @@
         val state = states[NodeName(hello.node)] ?: return
         state.reachesState = hello.reachesState
         state.heard = clock.now()
+        // Kept when it falls silent: it must be able to start again on all that is accepted meanwhile.
+        if (hello.bound > 0) state.bound = Footprint(hello.bound)
         ports.termSeen(Term(hello.term))
         if (hello.leading) ports.leaderCounts(hello.running.mapNotNull { (id, n) -> JobId.parse(id)?.let { it to n } }.toMap())
         val leading = ports.tenure() as? Tenure.Leading ?: return
@@ -150,18 +164,34 @@
                 binary(ProtoBuf.encodeToByteArray(Hello.serializer(), hello()))
             }
         }
-        "/cluster/forward" -> {
-            val forwarded = decoded(request.body, Forwarded.serializer())
-            if (forwarded == null) {
-                HttpServer.refusal(BAD, "no request")
-            } else {
-                val answer = ports.serve(Request(forwarded.method, forwarded.path, emptyMap(), forwarded.body))
-                binary(ProtoBuf.encodeToByteArray(ForwardedAnswer.serializer(), ForwardedAnswer(answer.status, answer.body, answer.headers)))
-            }
-        }
+        "/cluster/forward" -> handedOn(request) { ports.serve(it) }
+        "/cluster/lead" -> handedOn(request) { ports.lead(it) }
         else -> HttpServer.refusal(NOT_FOUND, "no such path")
     }
 
+    private suspend fun handedOn(request: Request, serve: suspend (Request) -> Response): Response {
+        val forwarded = decoded(request.body, Forwarded.serializer()) ?: return HttpServer.refusal(BAD, "no request")
+        val answer = serve(Request(forwarded.method, forwarded.path, emptyMap(), forwarded.body, forwarded.from.ifEmpty { null }))
+        return binary(ProtoBuf.encodeToByteArray(ForwardedAnswer.serializer(), ForwardedAnswer(answer.status, answer.body, answer.headers)))
+    }
+
+    /** The least that any other controller said that it can hold; null: none has said. */
+    public fun leastBound(): Footprint? = states.values.mapNotNull { it.bound }.minOrNull()
+
+    /** A question to the node that leads; null: it doesn't answer. */
+    public suspend fun atLeader(leader: NodeName, path: String, body: ByteArray, timeout: Duration): Response? {
+        val state = states[leader] ?: return null
+        return handOn(state, "/cluster/lead", Request("POST", path, emptyMap(), body), timeout)
+    }
+
+    private suspend fun handOn(state: PeerState, target: String, request: Request, timeout: Duration): Response? {
+        val body = ProtoBuf.encodeToByteArray(Forwarded.serializer(), Forwarded(request.method, request.path, request.body, request.from.orEmpty()))
+        val answer = transport.call(state.peer.address, "POST", target, body, timeout)
+        if (answer == null || answer.status != OK) return null
+        val inner = decoded(answer.body, ForwardedAnswer.serializer()) ?: return null
+        return Response(inner.status, inner.body, inner.headers)
+    }
+
     /** Whether the node has been heard of late. A worker sent to one that is cut off would wait there for its lease to end. */
     public fun hears(node: NodeName): Boolean = states[node]?.let { clock.now() - it.heard < LATELY } ?: false
 
@@ -169,11 +199,7 @@
     public suspend fun forward(request: Request): Response? {
         val now = clock.now()
         for (state in states.values.filter { it.reachesState && now - it.heard < FRESH }) {
-            val body = ProtoBuf.encodeToByteArray(Forwarded.serializer(), Forwarded(request.method, request.path, request.body))
-            val answer = transport.call(state.peer.address, "POST", "/cluster/forward", body, FORWARD_TIMEOUT)
-            if (answer == null || answer.status != OK) continue
-            val inner = decoded(answer.body, ForwardedAnswer.serializer()) ?: continue
-            return Response(inner.status, inner.body, inner.headers)
+            return handOn(state, "/cluster/forward", request, FORWARD_TIMEOUT) ?: continue
         }
         return null
     }
--- /dev/null
+++ b/src/main/kotlin/org/elderhitch/features/Feature.kt
@@ -0,0 +1,99 @@
+package org.elderhitch.features
+
+import kotlinx.coroutines.CoroutineScope
+import org.elderhitch.app.Meters
+import org.elderhitch.http.Request
+import org.elderhitch.http.Response
+import org.elderhitch.jobs.HoldKind
+import org.elderhitch.jobs.JobDesk
+import org.elderhitch.jobs.JobId
+import org.elderhitch.leadership.Tenure
+import org.elderhitch.settings.Settings
+import org.elderhitch.store.Change
+import org.elderhitch.store.Entry
+import org.elderhitch.store.StateClient
+import org.elderhitch.time.SteadyClock
+import org.elderhitch.time.WallClock
+import org.elderhitch.workers.HoldAnswer
+import kotlin.random.Random
+
+/**
+ * A direction of the product beside the core, which knows only this. All of it runs on the controller's one thread; what is
+ * called without `suspend` returns at once. A feature that doesn't care for a hook leaves it: then it costs a call.
+ */
+public interface Feature {
+    /** Also the first part of its paths, `/name/…`, and of its keys, `v/name/…` or, for what every node must know at start, `v/a/name/…`. */
+    public val name: String
+
+    public fun start() {}
+
+    /** A request under its paths. It may come from any node: the one that the user asked may have handed it on. */
+    public suspend fun handle(request: Request): Response
+
+    /** All that stands under `v/a/`, when this node starts and whenever it has lost track. */
+    public fun snapshot(entries: List<Entry>) {}
+
+    /** Each change under `v/`, in order. */
+    public fun changed(changes: List<Change>) {}
+
+    /** This node leads from now on, and knows all that was recorded before. */
+    public fun termBegins(leading: Tenure.Leading) {}
+
+    public fun termEnds() {}
+
+    public fun status(): Map<String, Any?> = emptyMap()
+
+    /** What it has to say of a job that was asked about; null: nothing. The core's own reasons come after. */
+    public suspend fun explain(job: JobId): List<String>? = null
+
+    /** Whether the finished blocks of an ended job are to be left: the ending alone says less than its owner may ask. */
+    public fun keepsFinished(job: JobId): Boolean = false
+}
+
+/** What a feature may use of the controller that it runs in. */
+public class FeatureContext(
+    public val scope: CoroutineScope,
+    public val settings: Settings,
+    public val clock: SteadyClock,
+    public val wall: WallClock,
+    public val random: Random,
+    public val client: StateClient,
+    public val desk: JobDesk,
+    public val meters: Meters,
+    /** True once all that was recorded when this was called is known here, by this feature too. */
+    public val sync: suspend () -> Boolean,
+    public val tenure: () -> Tenure,
+    /** Has the leader hold a job, wherever it is. */
+    public val hold: suspend (JobId, HoldKind, String) -> HoldAnswer,
+)
+
+/** What the operators switched on: read from the features file, made when the controller is. */
+public fun interface FeatureFactory {
+    public fun make(context: FeatureContext): Feature
+}
+
+/** The features that are on; the core speaks to all of them as to one. */
+public class FeatureSet(private val features: List<Feature>) {
+    public fun start(): Unit = features.forEach { it.start() }
+
+    /** The feature whose path the request names. */
+    public fun at(path: String): Feature? {
+        if (features.isEmpty()) return null
+        val first = path.removePrefix("/").substringBefore('/')
+        return features.firstOrNull { it.name == first }
+    }
+
+    public fun snapshot(entries: List<Entry>): Unit = features.forEach { it.snapshot(entries) }
+
+    public fun changed(changes: List<Change>): Unit = features.forEach { it.changed(changes) }
+
+    public fun termBegins(leading: Tenure.Leading): Unit = features.forEach { it.termBegins(leading) }
+
+    public fun termEnds(): Unit = features.forEach { it.termEnds() }
+
+    public fun status(): Map<String, Any?> = features.associate { it.name to it.status() }
+
+    public suspend fun explain(job: JobId): List<String> = features.flatMap { it.explain(job).orEmpty() }
+
+    public fun keepsFinished(job: JobId): Boolean = features.any { it.keepsFinished(job) }
+}
--- a/src/main/kotlin/org/elderhitch/http/HttpServer.kt
+++ b/src/main/kotlin/org/elderhitch/http/HttpServer.kt
@@ -85,10 +85,11 @@
             channel.setOption(StandardSocketOptions.TCP_NODELAY, true)
             val parser = MessageParser(limits, isResponse = false)
             val buffer = ByteBuffer.allocate(BUFFER)
+            val from = (channel.remoteAddress as? InetSocketAddress)?.address?.hostAddress
             while (true) {
                 val message = readMessage(connection, parser, buffer) ?: return
                 val response = try {
-                    handler.handle(MessageParser.request(message))
+                    handler.handle(MessageParser.request(message, from))
                 } catch (e: CancellationException) {
                     throw e
                 } catch (e: BadMessage) {
--- a/src/main/kotlin/org/elderhitch/http/MessageParser.kt
+++ b/src/main/kotlin/org/elderhitch/http/MessageParser.kt
@@ -212,14 +212,14 @@
         private val SINGLE = setOf("content-length", "transfer-encoding", "host")
 
         /** The request that a message states. */
-        public fun request(message: Message): Request {
+        public fun request(message: Message, from: String? = null): Request {
             val parts = message.startLine.split(' ')
             if (parts.size != 3 || !parts[2].startsWith("HTTP/1.")) throw BadMessage(BAD_REQUEST, "no HTTP/1.1 request line")
             val (method, target) = parts
             if (method.isEmpty() || method.any { it !in 'A'..'Z' } || !target.startsWith("/")) {
                 throw BadMessage(BAD_REQUEST, "no HTTP/1.1 request line")
             }
-            return Request(method, target.substringBefore('?'), query(target.substringAfter('?', "")), message.body)
+            return Request(method, target.substringBefore('?'), query(target.substringAfter('?', "")), message.body, from)
         }
 
         private fun query(text: String): Map<String, String> = if (text.isEmpty()) {
--- a/src/main/kotlin/org/elderhitch/http/Messages.kt
+++ b/src/main/kotlin/org/elderhitch/http/Messages.kt
@@ -27,6 +27,8 @@
     public val path: String,
     public val query: Map<String, String>,
     public val body: ByteArray,
+    /** The IP number of whoever sent it; null: not told. */
+    public val from: String? = null,
 )
 
 public class Response(
--- a/src/main/kotlin/org/elderhitch/jobs/Job.kt
+++ b/src/main/kotlin/org/elderhitch/jobs/Job.kt
@@ -87,6 +87,8 @@
     val checkpointEvery: Duration,
     val saveTakes: Duration,
     val deadline: Duration?,
+    /** The earlier job that this one repeats. */
+    val repeatOf: JobId? = null,
 ) {
     public val saves: Boolean get() = checkpointEvery > Duration.ZERO
 
--- a/src/main/kotlin/org/elderhitch/jobs/JobBook.kt
+++ b/src/main/kotlin/org/elderhitch/jobs/JobBook.kt
@@ -14,9 +14,11 @@
 import org.elderhitch.store.Subject
 import org.slf4j.LoggerFactory
 
-/** How a job ended, as its own key keeps it for ever. */
-public data class EndRecord(val how: Ending, val done: Int) {
-    public fun encode(): Map<String, Any?> = linkedMapOf("end" to how.name.lowercase(), "done" to done)
+/** How a job ended, as its own key keeps it for ever. [account]: null in endings that were written before there were accounts. */
+public data class EndRecord(val how: Ending, val done: Int, val account: Account? = null) {
+    public fun encode(): Map<String, Any?> = linkedMapOf<String, Any?>("end" to how.name.lowercase(), "done" to done).apply {
+        account?.let { put("acct", it.encode()) }
+    }
 
     public fun standing(): Standing = Standing.ended(how, done)
 
@@ -24,7 +26,7 @@
         /** Null for a value that this program did not write. */
         public fun decode(value: JsonObject): EndRecord? = try {
             Ending.entries.firstOrNull { it.name.lowercase() == value.string("end") }
-                ?.let { EndRecord(it, value.count("done").toInt()) }
+                ?.let { EndRecord(it, value.count("done").toInt(), value.objectOrNull("acct")?.let(Account::decode)) }
         } catch (_: MalformedJson) {
             null
         }
@@ -40,7 +42,7 @@
     public data object Absent : Known
 
     /** [version] is that of the job's record: its place in the order of jobs. */
-    public data class Open(val spec: JobSpec, val version: Revision, val standing: Standing) : Known
+    public data class Open(val spec: JobSpec, val version: Revision, val standing: Standing, val hold: Hold? = null) : Known
     public data class Ended(val record: EndRecord) : Known
 }
 
@@ -65,6 +67,9 @@
     public data class Opened(val spec: JobSpec, val version: Revision) : JobEvent
     public data class Finished(val id: JobId, val tasks: FinishedTasks) : JobEvent
     public data class Ended(val id: JobId) : JobEvent
+
+    /** [hold]: null when it is released. */
+    public data class Held(val id: JobId, val hold: Hold?) : JobEvent
 }
 
 /** The open jobs, and a bounded memory of ended ones; the state service remembers the rest. */
@@ -75,6 +80,7 @@
     private class OpenJob(val spec: JobSpec, val version: Revision) {
         val finished = FinishedTasks(spec.tasks)
         var running = 0
+        var hold: Hold? = null
     }
 
     private val log = LoggerFactory.getLogger("elderhitch.jobs")
@@ -85,6 +91,10 @@
     private val absent: Cache<JobId, Unit> = Caffeine.newBuilder().maximumSize(REMEMBERED_ABSENT).executor(Runnable::run).build()
     private var epoch = 0
 
+    /** What the open jobs take of this process's memory. */
+    public var footprint: Footprint = Footprint.NONE
+        private set
+
     override fun receive(message: JobMessage) {
         when (message) {
             is JobMessage.Snapshot -> snapshot(message.entries)
@@ -100,7 +110,7 @@
     private fun lookup(id: JobId): Known {
         ended.getIfPresent(id)?.let { return Known.Ended(it) }
         val job = open[id] ?: return if (absent.getIfPresent(id) != null) Known.Absent else Known.Nothing(epoch)
-        return Known.Open(job.spec, job.version, Standing.open(job.finished.count, job.running))
+        return Known.Open(job.spec, job.version, Standing.open(job.finished.count, job.running), job.hold)
     }
 
     private fun snapshot(entries: List<Entry>) {
@@ -110,13 +120,19 @@
         val present = entries.mapNotNull { (Keys.subject(it.key) as? Subject.Job)?.id }.toSet()
         // How these ended is not known here; whoever asks is answered from their own keys.
         open.keys.filter { it !in present }.forEach { gone(it) }
+        val held = entries.mapNotNull { (Keys.subject(it.key) as? Subject.Hold)?.id }.toSet()
+        open.values.filter { it.hold != null && it.spec.id !in held }.forEach { hold(it.spec.id, null) }
         entries.sortedBy { if (Keys.subject(it.key) is Subject.Job) 0 else 1 }.forEach(::put)
     }
 
     private fun changed(change: Change) {
         when (change) {
             is Change.Put -> put(change.entry)
-            is Change.Drop -> (Keys.subject(change.key) as? Subject.Job)?.let { gone(it.id) }
+            is Change.Drop -> when (val subject = Keys.subject(change.key)) {
+                is Subject.Job -> gone(subject.id)
+                is Subject.Hold -> hold(subject.id, null)
+                else -> Unit
+            }
         }
     }
 
@@ -129,6 +145,7 @@
             }
             is Subject.End -> EndRecord.decode(entry.value)?.let { ended(subject.id, it) }
             is Subject.Finished -> finished(subject, entry)
+            is Subject.Hold -> Hold.decode(entry.value, entry.version)?.let { hold(subject.id, it) } ?: log.error("hold malformed key={}", entry.key)
             else -> Unit
         }
     }
@@ -138,6 +155,7 @@
         // The record is written once, so a second sight of it changes nothing; and an ended job never opens again.
         if (spec.id in open || ended.getIfPresent(spec.id) != null) return
         open[spec.id] = OpenJob(spec, version)
+        footprint += Footprint.of(spec)
         onEvent(JobEvent.Opened(spec, version))
     }
 
@@ -157,8 +175,17 @@
         gone(id)
     }
 
+    private fun hold(id: JobId, hold: Hold?) {
+        val job = open[id] ?: return
+        if (job.hold == hold) return
+        job.hold = hold
+        onEvent(JobEvent.Held(id, hold))
+    }
+
     private fun gone(id: JobId) {
-        if (open.remove(id) != null) onEvent(JobEvent.Ended(id))
+        val job = open.remove(id) ?: return
+        footprint -= Footprint.of(job.spec)
+        onEvent(JobEvent.Ended(id))
     }
 
     private companion object {
--- a/src/main/kotlin/org/elderhitch/jobs/JobCodec.kt
+++ b/src/main/kotlin/org/elderhitch/jobs/JobCodec.kt
@@ -54,6 +54,7 @@
             checkpointEvery = body.amount("tallyS").seconds,
             saveTakes = body.amount("stowS").seconds,
             deadline = body.amountOrNull("closingS")?.seconds,
+            repeatOf = body.stringOrNull("repeatOf")?.let { JobId.parse(it) ?: throw MalformedJson("repeatOf: not of the form req-000412") },
         )
     }
 
@@ -78,6 +79,7 @@
         "tallyS" to spec.checkpointEvery.toDouble(DurationUnit.SECONDS),
         "stowS" to spec.saveTakes.toDouble(DurationUnit.SECONDS),
         "closingS" to spec.deadline?.toDouble(DurationUnit.SECONDS),
+        "repeatOf" to spec.repeatOf?.text,
     ).filterValues { it != null }
 
     public fun standing(id: JobId, standing: Standing): ByteArray = Json.bytes(
--- a/src/main/kotlin/org/elderhitch/jobs/JobDesk.kt
+++ b/src/main/kotlin/org/elderhitch/jobs/JobDesk.kt
@@ -15,6 +15,7 @@
 import org.elderhitch.store.Revision
 import org.elderhitch.store.StateClient
 import org.elderhitch.store.Write
+import org.elderhitch.time.WallClock
 import org.slf4j.LoggerFactory
 
 /** What a user is told; the edge turns it into statuses. */
@@ -27,6 +28,21 @@
 
     /** This node can't tell or record it now. */
     public data class NotNow(val reason: String) : Answer
+
+    /** No node takes it now: what is open is near what the controllers can hold. */
+    public data object Full : Answer
+}
+
+/** What is recorded in one transaction with a job, and only if these hold too. */
+public class Beside(public val conditions: List<Condition>, public val writes: List<Write>) {
+    public companion object {
+        public val NOTHING: Beside = Beside(emptyList(), emptyList())
+    }
+}
+
+/** What the leader has seen of a job's work; null: it can't be asked. */
+public fun interface Accounts {
+    public suspend fun of(spec: JobSpec): Account?
 }
 
 /** What machines exist in principle; null until the cloud has said. */
@@ -45,6 +61,10 @@
     private val teams: Map<TeamName, Team>,
     private val catalogue: Catalogue,
     private val valueBytes: Int,
+    private val wall: WallClock,
+    private val accounts: Accounts = Accounts { null },
+    private val rules: ClassRules = ClassRules.NONE,
+    private val admission: Admission? = null,
 ) {
     private val log = LoggerFactory.getLogger("elderhitch.jobs")
 
@@ -64,14 +84,36 @@
             // An accepted job is never refused, whatever a repeat of it looks like.
             return known(id, orElse = Answer.Malformed(e.message.orEmpty()))
         }
-        val encoded = JobCodec.encode(spec)
+        return submit(spec)
+    }
+
+    /** [extra]: fields that are kept in the job's record and mean nothing here. */
+    public suspend fun submit(spec: JobSpec, extra: Map<String, Any?> = emptyMap(), beside: Beside = Beside.NOTHING): Answer {
+        if (!feed.loaded) return Answer.NotNow("starting")
+        val id = spec.id
+        val encoded = JobCodec.encode(spec) + extra
         if (Json.bytes(encoded).size > valueBytes) return known(id, orElse = Answer.Malformed("the job's fields are too long"))
         if (lookup(id).let { it is Known.Open || it is Known.Ended }) return known(id, orElse = Answer.NotNow("state unclear"))
-        neverRuns(spec)?.let { return known(id, orElse = it) }
-        return record(spec, encoded)
+        refusal(spec)?.let { return known(id, orElse = it) }
+        if (admission?.admits(book.footprint, spec) == false) return known(id, orElse = Answer.Full)
+        return record(spec, encoded, beside)
+    }
+
+    /** Why the job would be refused, whoever submits it and by whatever way; null: it would not. */
+    public suspend fun refusal(spec: JobSpec): Answer? = neverRuns(spec) ?: spec.repeatOf?.let { badRepeat(spec, it) }
+
+    private suspend fun badRepeat(spec: JobSpec, earlier: JobId): Answer? = when (val shown = show(earlier)) {
+        Answer.Unknown -> Answer.NeverRuns("repeatOf: no such job")
+        is Answer.State -> {
+            val known = lookup(earlier)
+            val jobClass = (known as? Known.Open)?.spec?.jobClass ?: (known as? Known.Ended)?.record?.account?.jobClass
+            if (jobClass == null || jobClass == spec.jobClass) null else Answer.NeverRuns("repeatOf: a job of class $jobClass")
+        }
+        else -> shown
     }
 
     private fun neverRuns(spec: JobSpec): Answer? {
+        rules.deniesRepeat(spec)?.let { return Answer.NeverRuns(it) }
         val team = teams[spec.team] ?: return Answer.NeverRuns("desk: unknown team")
         val atOnce = spec.need * if (spec.kind == JobKind.ARRAY) 1 else spec.tasks
         if (team.mostCpus != null && atOnce.cpus > team.mostCpus || team.mostGpus != null && atOnce.gpus > team.mostGpus) {
@@ -84,9 +126,9 @@
         }
     }
 
-    private suspend fun record(spec: JobSpec, encoded: Map<String, Any?>): Answer {
-        val conditions = listOf(Condition(Keys.job(spec.id), Revision.ABSENT), Condition(Keys.end(spec.id), Revision.ABSENT))
-        val write = listOf(Write.Put(Keys.job(spec.id), encoded))
+    private suspend fun record(spec: JobSpec, encoded: Map<String, Any?>, beside: Beside): Answer {
+        val conditions = listOf(Condition(Keys.job(spec.id), Revision.ABSENT), Condition(Keys.end(spec.id), Revision.ABSENT)) + beside.conditions
+        val write = listOf(Write.Put(Keys.job(spec.id), encoded)) + beside.writes
         repeat(TRIES) {
             when (val outcome = client.commit(conditions, write, Purpose.RECORD)) {
                 is CommitOutcome.Committed -> {
@@ -136,11 +178,11 @@
                 if (shown !is Answer.State || lookup(id) !is Known.Open) return shown
             }
             val open = lookup(id) as? Known.Open ?: return@repeat
-            val record = EndRecord(Ending.WITHDRAWN, open.standing.done)
+            val record = EndRecord(Ending.WITHDRAWN, open.standing.done, accounts.of(open.spec) ?: Account.unseen(open.spec, wall.now()))
             val outcome = client.commit(
                 // Done or withdrawn: whoever creates the key of the ending has decided it.
                 listOf(Condition(Keys.end(id), Revision.ABSENT), Condition(Keys.job(id), open.version)),
-                listOf(Write.Put(Keys.end(id), record.encode()), Write.Drop(Keys.job(id))),
+                listOfNotNull(Write.Put(Keys.end(id), record.encode()), Write.Drop(Keys.job(id)), open.hold?.let { Write.Drop(Keys.hold(id)) }),
                 Purpose.RECORD,
             )
             when (outcome) {
@@ -157,7 +199,25 @@
         return Answer.NotNow("the state service doesn't answer")
     }
 
-    private suspend fun lookup(id: JobId): Known {
+    /** Takes a hold away; [Answer.Unknown] if there is none to be taken. */
+    public suspend fun release(id: JobId, may: (Hold) -> Boolean): Answer {
+        repeat(TRIES) {
+            val shown = show(id)
+            if (shown !is Answer.State) return shown
+            val open = lookup(id) as? Known.Open
+            val hold = open?.hold?.takeIf(may) ?: return Answer.Unknown
+            val outcome = client.commit(listOf(Condition(Keys.hold(id), hold.version)), listOf(Write.Drop(Keys.hold(id))), Purpose.RECORD)
+            when (outcome) {
+                is CommitOutcome.Committed -> return Answer.State(id, open.standing)
+                is CommitOutcome.Conflict, CommitOutcome.Unknown -> if (!feed.sync()) return Answer.NotNow("the state service doesn't answer")
+                CommitOutcome.Refused, CommitOutcome.NoSuchLease -> return Answer.NotNow("the state service takes no record now")
+            }
+        }
+        return Answer.NotNow("the state service doesn't answer")
+    }
+
+    /** What is known here, without asking anybody. */
+    public suspend fun lookup(id: JobId): Known {
         val reply = CompletableDeferred<Known>()
         book.tell(JobMessage.Lookup(id, reply))
         return reply.await()
--- a/src/main/kotlin/org/elderhitch/jobs/Recorder.kt
+++ b/src/main/kotlin/org/elderhitch/jobs/Recorder.kt
@@ -63,13 +63,16 @@
     internal fun items(batch: FinishedBatch): List<RecordItem> {
         val open = Condition(Keys.job(batch.job), batch.version)
         if (batch.state.all) {
-            val ending = EndRecord(Ending.DONE, batch.state.tasks)
+            val ending = EndRecord(Ending.DONE, batch.state.tasks, batch.account)
             return listOf(
                 RecordItem(
                     batch.job,
                     batch.fresh,
                     listOf(open, Condition(Keys.end(batch.job), Revision.ABSENT)),
-                    listOf(Write.Put(Keys.end(batch.job), ending.encode()), Write.Drop(Keys.job(batch.job))),
+                    listOfNotNull(
+                        Write.Put(Keys.end(batch.job), ending.encode()), Write.Drop(Keys.job(batch.job)),
+                        if (batch.held) Write.Drop(Keys.hold(batch.job)) else null,
+                    ),
                     ending,
                 ),
             )
@@ -80,6 +83,29 @@
         }
     }
 
+    /** Keeps a job from being started. Whoever has begun another term meanwhile may have started it: then nothing is written. */
+    public suspend fun hold(leading: Tenure.Leading, job: JobId, version: Revision, hold: Hold): CommitOutcome {
+        val conditions = listOf(Condition(Keys.TERM, leading.counter), Condition(Keys.job(job), version), Condition(Keys.hold(job), Revision.ABSENT))
+        var outcome: CommitOutcome = CommitOutcome.Unknown
+        repeat(HOLD_TRIES) {
+            outcome = client.commit(conditions, listOf(Write.Put(Keys.hold(job), hold.encode())), Purpose.RECORD)
+            val mine = (outcome as? CommitOutcome.Conflict)?.failed == setOf(Keys.hold(job))
+            // Nobody else holds jobs in this term: a hold that is there is the one that an earlier try left.
+            if (mine) return CommitOutcome.Committed(Revision.ABSENT)
+            if (outcome != CommitOutcome.Unknown) return outcome
+        }
+        return outcome
+    }
+
+    /** A hold that was recorded while its job ended keeps nothing any more. */
+    public suspend fun forgetHold(leading: Tenure.Leading, job: JobId) {
+        client.commit(
+            listOf(Condition(Keys.TERM, leading.counter), Condition(Keys.job(job), Revision.ABSENT)),
+            listOf(Write.Drop(Keys.hold(job))),
+            Purpose.OTHER,
+        )
+    }
+
     /** The finished blocks of an ended job say nothing that its ending doesn't. */
     public suspend fun forget(leading: Tenure.Leading, job: JobId, blocks: Collection<Int>) {
         for (chunk in blocks.chunked(txnOps)) {
@@ -90,4 +116,8 @@
             )
         }
     }
+
+    private companion object {
+        const val HOLD_TRIES = 3
+    }
 }
--- a/src/main/kotlin/org/elderhitch/placement/Round.kt
+++ b/src/main/kotlin/org/elderhitch/placement/Round.kt
@@ -55,8 +55,10 @@
     public val joinAttempt: Attempt?,
     /** By when the deployment's aims want it started or done. */
     public val due: Moment = Moment.FOREVER,
-    /** It failed wherever it was tried: it is tried where there is room, and nothing is stopped, kept or rented for it. */
+    /** It failed wherever it was tried: it is tried where there is room, and nothing is stopped or kept for it. */
     public val probe: Boolean = false,
+    /** It failed so often that it is known to be at fault itself. */
+    public val atFault: Boolean = false,
 )
 
 /** Room that production finds free at once, since stopping less important work for it would take too long. */
@@ -283,12 +285,23 @@
             }
             take(job, index, room, zones)
         }
-        if (job.probe) return
+        if (job.probe) {
+            if (missing > 0 && nowhereToTry(job)) unplaced.add(Unplaced(spec, 1, zones))
+            return
+        }
         val anywhere = !(input.rush && spec.kind == JobKind.SERVICE)
         while (missing > 0 && makeRoom(spec, zones) { anywhere || spec.image in it.of.images }) missing--
         if (missing > 0) unplaced.add(Unplaced(spec, missing, zones))
     }
 
+    /**
+     * Machines are rented for a job that failed everywhere only where none is left to try it on. Seen: a job of one task failed on
+     * the two machines that there were; both were returned as idle, and it waited for ever.
+     */
+    private fun nowhereToTry(job: JobView): Boolean = input.machines.none {
+        job.spec.mayUse(it.type, it.zone, it.spot) && (job.atFault || job.spec.id !in it.shunnedBy)
+    }
+
     private fun take(job: JobView, index: Int, room: Room, zones: MutableMap<Zone, Int>) {
         room.free -= job.spec.need
         room.empty = false
@@ -384,7 +397,7 @@
         }
         val choice = choices.firstNotNullOfOrNull { fit(job, it) }
         if (choice == null) {
-            if (job.probe || stopForGang(job, candidates)) return
+            if (if (job.probe) !nowhereToTry(job) else stopForGang(job, candidates)) return
             unplaced.add(Unplaced(spec, job.pending.size, job.zones))
             reserve(job, choices)
             return
--- a/src/main/kotlin/org/elderhitch/settings/Settings.kt
+++ b/src/main/kotlin/org/elderhitch/settings/Settings.kt
@@ -77,9 +77,17 @@
     val cloudLimits: CloudLimits,
     val maxSockets: Int,
 ) {
+    /** Where each controller is, as far as the settings say. */
+    val nodeZones: Map<NodeName, Zone> get() = peers.mapNotNull { peer -> peer.zone?.let { peer.name to it } }.toMap() + (node to zone)
+
+    /** Classes whose aim on starting leaves no time to stop other work first: a save, two reports and a round. */
+    val instantClasses: Set<String>
+        get() = objectives.filter { it.kind == "wait" && it.within != null && it.within < workers.report * 2 + STOPPING }.map { it.jobClass }.toSet()
+
     public companion object {
         private const val DEFAULT_SOCKETS = 1024L
         private const val KIB = 1024
+        private val STOPPING = 6.seconds
 
         /** Throws [MalformedJson] naming the field that is wrong. */
         public fun parse(bytes: ByteArray): Settings {
--- a/src/main/kotlin/org/elderhitch/standin/WorkerStandIn.kt
+++ b/src/main/kotlin/org/elderhitch/standin/WorkerStandIn.kt
@@ -26,6 +26,9 @@
     public fun started(task: String, machine: String)
 
     public fun ended(task: String, machine: String)
+
+    /** Whether the task fails on that machine as soon as it runs. */
+    public fun fails(task: String, machine: String): Boolean = false
 }
 
 /** A worker in memory: reports, obeys tokens and leases, and lets tasks run for the time that their script says. */
@@ -136,6 +139,7 @@
                 task.runsUntil = if (script == null || script.kind == "daemon") Moment.FOREVER else now + script.runs
                 changed = true
             }
+            if (task.phase == "running" && watch.fails(task.id, machine.id)) end(task, "error")
             if (task.phase == "running" && now >= task.runsUntil) end(task, "done")
         }
     }
--- a/src/main/kotlin/org/elderhitch/store/Keys.kt
+++ b/src/main/kotlin/org/elderhitch/store/Keys.kt
@@ -16,6 +16,7 @@
     private const val JOB = "v/a/job/"
     private const val FINISHED = "v/a/fin/"
     private const val HIRE = "v/a/hire/"
+    private const val HOLD = "v/a/hold/"
     private const val END = "v/z/end/"
 
     public fun job(id: JobId): String = JOB + id.text
@@ -24,6 +25,8 @@
 
     public fun finished(id: JobId, block: Int): String = "$FINISHED${id.text}/$block"
 
+    public fun hold(id: JobId): String = HOLD + id.text
+
     public fun hire(name: String): String = HIRE + name
 
     /** What a key holds, for who follows the changes. */
@@ -32,6 +35,7 @@
         key == LEADER -> Subject.Leader
         key.startsWith(JOB) -> JobId.parse(key.substring(JOB.length))?.let(Subject::Job)
         key.startsWith(END) -> JobId.parse(key.substring(END.length))?.let(Subject::End)
+        key.startsWith(HOLD) -> JobId.parse(key.substring(HOLD.length))?.let(Subject::Hold)
         key.startsWith(HIRE) -> Subject.Hire(key.substring(HIRE.length))
         key.startsWith(FINISHED) -> {
             val rest = key.substring(FINISHED.length)
@@ -48,6 +52,7 @@
     public data object Leader : Subject
     public data class Job(val id: JobId) : Subject
     public data class End(val id: JobId) : Subject
+    public data class Hold(val id: JobId) : Subject
     public data class Finished(val id: JobId, val block: Int) : Subject
     public data class Hire(val name: String) : Subject
 }
--- a/src/main/kotlin/org/elderhitch/time/Time.kt
+++ b/src/main/kotlin/org/elderhitch/time/Time.kt
@@ -1,6 +1,7 @@
 package org.elderhitch.time
 
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.nanoseconds
 
 /** A point on this process's steady clock. Two processes' moments can't be compared. */
@@ -37,3 +38,22 @@
 
 /** A span that is surely not over on any other clock while it is not over on this one. */
 public fun Duration.shortened(): Duration = this * (1 - 2 * CLOCK_DRIFT)
+
+/** The time of day in milliseconds since 1970, true within the bound that the settings state (`clock_error_ms`). Orders nothing. */
+@JvmInline
+public value class WallTime(public val ms: Long) : Comparable<WallTime> {
+    public operator fun plus(duration: Duration): WallTime = WallTime(ms + duration.inWholeMilliseconds)
+    public operator fun minus(duration: Duration): WallTime = WallTime(ms - duration.inWholeMilliseconds)
+    public operator fun minus(other: WallTime): Duration = (ms - other.ms).milliseconds
+    override fun compareTo(other: WallTime): Int = ms.compareTo(other.ms)
+    override fun toString(): String = java.time.Instant.ofEpochMilli(ms).toString()
+}
+
+/** Injected like the steady clock; for what people read, never for what is decided by who was first. */
+public fun interface WallClock {
+    public fun now(): WallTime
+}
+
+public object SystemWallClock : WallClock {
+    override fun now(): WallTime = WallTime(System.currentTimeMillis())
+}
--- a/src/main/kotlin/org/elderhitch/workers/DemandReport.kt
+++ b/src/main/kotlin/org/elderhitch/workers/DemandReport.kt
@@ -18,7 +18,7 @@
     fun uses(catalog: Catalog, now: Moment, cleared: Set<MachineId>, usable: (WorkerState) -> Boolean): List<MachineUse> =
         table.workers.values.filter { it.settled && it.id in cleared }.map { use(it, catalog, now, usable(it)) }
 
-    fun services(): List<JobSpec> = table.jobs.values.filter { it.spec.kind == JobKind.SERVICE && !it.ended }.map { it.spec }
+    fun services(): List<JobSpec> = table.jobs.values.filter { it.spec.kind == JobKind.SERVICE && !it.ended && it.hold == null }.map { it.spec }
 
     private fun use(worker: WorkerState, catalog: Catalog, now: Moment, usable: Boolean): MachineUse {
         var busy = Resources.NONE
--- /dev/null
+++ b/src/main/kotlin/org/elderhitch/workers/Explanation.kt
@@ -0,0 +1,110 @@
+package org.elderhitch.workers
+
+import org.elderhitch.fleet.Catalog
+import org.elderhitch.jobs.JobId
+import org.elderhitch.jobs.JobKind
+import org.elderhitch.jobs.JobSpec
+import org.elderhitch.jobs.Resources
+import org.elderhitch.leadership.Tenure
+import org.elderhitch.settings.Team
+import org.elderhitch.settings.TeamName
+import org.elderhitch.time.Moment
+
+/** Says, from the leader's own state, why a job stands as it does: one line a reason, the one that decides first. */
+internal class Explanation(
+    private val table: TaskTable,
+    private val faults: Faults,
+    private val takeover: Takeover,
+    private val silence: Silence,
+    private val roster: Roster,
+    private val teams: Map<TeamName, Team>,
+) {
+    /** Null: no such open job in the leader's table. */
+    fun of(leading: Tenure.Leading, id: JobId, catalog: Catalog, now: Moment, tableComplete: Boolean, usable: (WorkerState) -> Boolean): List<String>? {
+        if (!tableComplete) return listOf("a takeover: the leader is still reading what is recorded")
+        val job = table.jobs[id]?.takeUnless { it.ended } ?: return null
+        val lines = ArrayList<String>()
+        job.hold?.let { lines.add("held (${it.kind.name.lowercase()}): ${it.reason}") }
+        if (job.holding && job.hold == null) lines.add("a hold is being recorded")
+        counts(job, lines)
+        val missing = job.spec.tasks - job.done.count - job.placements.size
+        if (missing <= 0 || job.hold != null || job.holding) return lines
+        waits(leading, job, catalog, now, lines, usable)
+        return lines
+    }
+
+    private fun counts(job: JobState, lines: MutableList<String>) {
+        val phases = job.placements.values.groupingBy { p ->
+            when {
+                p.stop != null -> "stopping"
+                p.certainty != Certainty.REPORTED -> "sent"
+                else -> p.phase.name.lowercase()
+            }
+        }.eachCount().toSortedMap()
+        val parts = phases.entries.joinToString("") { ", ${it.value} ${it.key}" }
+        lines.add("of ${job.spec.tasks} tasks ${job.done.count} done$parts; ${job.tally.attempts} starts seen, ${job.tally.lost} lost, in this term")
+        val cut = job.placements.values.count { silence.isCutOff(it.zone) }
+        if (cut > 0) lines.add("$cut of its tasks are in a zone that is cut off")
+    }
+
+    private fun waits(leading: Tenure.Leading, job: JobState, catalog: Catalog, now: Moment, lines: MutableList<String>, usable: (WorkerState) -> Boolean) {
+        val spec = job.spec
+        if (job.version <= leading.counter && takeover.mayHide(spec, roster.known)) {
+            lines.add("waits for a takeover: ${takeover.unheard.size} machines that may run it have not reported yet")
+        }
+        if (!leading.mayCommand(now)) lines.add("waits for the state service: the leader can't renew its term")
+        if (job.notBefore > now) lines.add("at fault: failed on ${job.erredOn.size} machines and runs on none; tried again in ${(job.notBefore - now).inWholeSeconds} s")
+        faults.probes(job)?.let { lines.add("failed on ${job.erredOn.size} machines: no more than a few tasks are tried at a time") }
+        if (job.isGang && job.gang.broken) lines.add("the gang broke: waits for its members to exit before the next attempt")
+        limit(job)?.let(lines::add)
+        val fitting = catalog.fitting(spec).map { it.name }.toSet()
+        if (fitting.isEmpty()) {
+            lines.add("no machine type is known that a task of it fits")
+            return
+        }
+        room(job, catalog, fitting, lines, usable)
+    }
+
+    private fun limit(job: JobState): String? {
+        val team = teams[job.spec.team] ?: return "its team is unknown here"
+        var used = Resources.NONE
+        for (other in table.jobs.values) if (other.spec.team == team.name) used += other.spec.need * other.placements.size
+        val atOnce = job.spec.need * if (job.isGang) job.spec.tasks - job.placements.size else 1
+        val gpus = team.mostGpus?.takeIf { used.gpus + atOnce.gpus > it }
+        if (gpus != null) return "waits for its team's limit: ${used.gpus} of $gpus GPUs in use, ${atOnce.gpus} needed"
+        val cpus = team.mostCpus?.takeIf { used.cpus + atOnce.cpus > it } ?: return null
+        return "waits for its team's limit: ${used.cpus} of $cpus CPUs in use, ${atOnce.cpus} needed"
+    }
+
+    private fun room(job: JobState, catalog: Catalog, fitting: Set<org.elderhitch.jobs.MachineType>, lines: MutableList<String>, usable: (WorkerState) -> Boolean) {
+        val spec = job.spec
+        val allowed = table.workers.values.filter { it.type in fitting && spec.mayUse(it.type, it.zone, it.spot) }
+        val ready = allowed.filter(usable)
+        val roomy = ready.count { worker -> free(worker, catalog)?.let { spec.need.fitsIn(it) } ?: false }
+        val booting = roster.known.values.count { it.id !in roster.cleared && spec.mayUse(it.type, it.zone, it.spot) }
+        val what = "${spec.need.cpus} CPUs, ${spec.need.gpus} GPUs, ${spec.need.memoryGb} GB"
+        val place = place(spec)
+        lines.add(
+            if (roomy == 0) {
+                "waits for room: none of ${ready.size} usable machines$place has $what free; $booting are booting"
+            } else {
+                "$roomy of ${ready.size} usable machines$place have $what free; $booting are booting" + (if (job.isGang) "; a gang starts only when all its tasks fit at once" else "")
+            },
+        )
+        val shunned = allowed.count { spec.id in it.shunnedBy }
+        if (shunned > 0) lines.add("$shunned machines are left out for a while: it failed or was refused there")
+    }
+
+    private fun place(spec: JobSpec): String = buildString {
+        spec.zone?.let { append(" in zone ").append(it) }
+        if (!spec.spotAllowed) append(", not spot,")
+        if (spec.oneZone) append(", all in one zone,")
+        if (spec.kind == JobKind.SERVICE && spec.spread) append(", spread over zones,")
+    }
+
+    private fun free(worker: WorkerState, catalog: Catalog): Resources? {
+        var free = catalog.resources(worker.type) ?: return null
+        for (p in worker.placements.values) table.jobs[p.task.job]?.let { free -= it.spec.need }
+        return free
+    }
+}
--- a/src/main/kotlin/org/elderhitch/workers/Faults.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Faults.kt
@@ -49,6 +49,8 @@
         return (if (job.erredOn.size < JOB_AT_FAULT) PROBES else 1) - job.placements.size
     }
 
+    fun atFault(job: JobState): Boolean = job.erredOn.size >= JOB_AT_FAULT
+
     /** Time brings evidence too: jobs that failed on a machine prove well elsewhere. */
     fun reconsider(now: Moment) {
         for (worker in table.workers.values) if (worker.erredJobs.isNotEmpty()) judge(worker, now)
--- a/src/main/kotlin/org/elderhitch/workers/Foreman.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Foreman.kt
@@ -9,7 +9,11 @@
 import org.elderhitch.fleet.FleetMessage
 import org.elderhitch.fleet.Machine
 import org.elderhitch.http.Address
+import org.elderhitch.jobs.Account
+import org.elderhitch.jobs.ClassRules
 import org.elderhitch.jobs.FinishedTasks
+import org.elderhitch.jobs.Hold
+import org.elderhitch.jobs.HoldKind
 import org.elderhitch.jobs.Image
 import org.elderhitch.jobs.JobEvent
 import org.elderhitch.jobs.JobId
@@ -31,6 +35,7 @@
 import org.elderhitch.store.Revision
 import org.elderhitch.time.Moment
 import org.elderhitch.time.SteadyClock
+import org.elderhitch.time.WallClock
 import org.slf4j.LoggerFactory
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -90,6 +95,15 @@
         val starts: Set<Pair<TaskId, Attempt>>,
         val outcome: CommandOutcome,
     ) : ForemanMessage
+    /** The wish to hold a job: only the leader knows whether something of it was started. */
+    public data class HoldJob(val id: JobId, val kind: HoldKind, val reason: String, val reply: CompletableDeferred<HoldAnswer>) : ForemanMessage
+    public data class HoldWritten(val term: Term, val id: JobId, val outcome: HoldWrite) : ForemanMessage
+
+    /** What this term has seen of a job's work; null: this node doesn't lead, or doesn't know the job. */
+    public data class AccountOf(val id: JobId, val reply: CompletableDeferred<Account?>) : ForemanMessage
+
+    /** Why a job stands as it does; null as for [AccountOf]. */
+    public data class Explain(val id: JobId, val reply: CompletableDeferred<List<String>?>) : ForemanMessage
     public data object Tick : ForemanMessage
 }
 
@@ -114,6 +128,11 @@
     public fun ask(tenure: Tenure.Leading, at: Address, machine: MachineId)
 
     public fun running(counts: Map<JobId, Int>)
+
+    /** Records a hold; what becomes of it comes back as [ForemanMessage.HoldWritten]. */
+    public fun hold(tenure: Tenure.Leading, job: JobId, version: Revision, hold: Hold)
+
+    public fun forgetHold(tenure: Tenure.Leading, job: JobId)
 }
 
 /** Newly finished tasks of one job, to be recorded in the state service. */
@@ -122,6 +141,9 @@
     public val version: Revision,
     public val state: FinishedTasks,
     public val fresh: List<Int>,
+    /** Of a job that is complete. */
+    public val account: Account? = null,
+    public val held: Boolean = false,
 )
 
 /**
@@ -137,6 +159,8 @@
     nodeZones: Map<NodeName, Zone>,
     private val clock: SteadyClock,
     private val ports: ForemanPorts,
+    private val wall: WallClock,
+    rules: ClassRules = ClassRules.NONE,
 ) : Actor<ForemanMessage>(scope) {
     private val log = LoggerFactory.getLogger("elderhitch.workers")
     private val table = TaskTable(clock)
@@ -151,6 +175,8 @@
     private val feed = RoundFeed(table, faults, teams, objectives)
     private val demand = DemandReport(table, silence.suspectAfter)
     private val roster = Roster()
+    private val holds = Holds(table, rules, ports)
+    private val explanation = Explanation(table, faults, takeover, silence, roster, teams)
     private var hinted: Map<MachineId, Map<Image, Double>> = emptyMap()
     private var lastHint = Moment.NEVER
     private var keptFree: List<KeptFree> = emptyList()
@@ -169,6 +195,7 @@
 
     override fun start() {
         super.start()
+        table.onLost = ::lost
         scope.launch {
             while (true) {
                 delay(TICK)
@@ -208,6 +235,10 @@
             is ForemanMessage.MachinesListed -> inquiry.listed(message.where)
             is ForemanMessage.Asked -> asked(message)
             is ForemanMessage.Drain -> drain(message.machine)
+            is ForemanMessage.HoldJob -> hold(message)
+            is ForemanMessage.HoldWritten -> if (message.term == term()) holds.written(message.id, message.outcome)
+            is ForemanMessage.AccountOf -> message.reply.complete(leading()?.let { l -> table.jobs[message.id]?.let { account(l, it) } })
+            is ForemanMessage.Explain -> message.reply.complete(leading()?.let { explanation.of(it, message.id, catalog, clock.now(), tableComplete) { w -> usable(w, clock.now()) } })
             ForemanMessage.Tick -> tick()
         }
     }
@@ -227,6 +258,7 @@
         takeover.begin(leading)
         inquiry.newTerm()
         consolidation.newTerm()
+        holds.newTerm()
         roster.newTerm()
         tableComplete = false
         nextAttempt = leading.term.number shl ATTEMPTS_PER_TERM_BITS
@@ -262,11 +294,32 @@
                     val blocks = (0 until job.spec.tasks).filter { it in job.finished }.map(FinishedTasks::blockOf).toSet()
                     ports.forget(leading, job.id, blocks)
                 }
+                holds.ended(job.id)
+                if (leading != null && job.hold != null) ports.forgetHold(leading, job.id)
                 table.end(job)
             }
+            is JobEvent.Held -> holds.heard(leading(), event.id, event.hold)
         }
     }
 
+    private fun hold(message: ForemanMessage.HoldJob) {
+        val leading = leading()
+        if (leading == null || !tableComplete || !leading.mayCommand(clock.now())) {
+            message.reply.complete(HoldAnswer.NotNow("no leader here that may command"))
+            return
+        }
+        holds.ask(leading, message.id, message.kind, message.reason, { takeover.mayHide(it, roster.known) }, message.reply)
+    }
+
+    private fun lost(job: JobState, placement: Placement) {
+        job.tally.gone(job, placement, clock.now(), holds.counts(job))
+        val leading = leading() ?: return
+        if (holds.counts(job)) holds.failed(leading, job, placement.task.index)
+    }
+
+    private fun account(leading: Tenure.Leading, job: JobState): Account =
+        job.tally.account(job, clock.now(), wall.now(), lowerBound = job.version <= leading.counter)
+
     // ---- reports -----------------------------------------------------------------------------------------------
 
     private fun report(report: Report): ReportAnswer {
@@ -441,6 +494,7 @@
         }
         if (!tableComplete || !leading.mayCommand(now)) return
         inquiry.ask(leading, now, silence::isCutOff)
+        holds.stopSuspended()
         record(leading)
         if (now - lastHint > HINT_EVERY) {
             lastHint = now
@@ -455,7 +509,7 @@
         // Parts of jobs wait for each other: each rewrites whole blocks, and the end of a job waits for none of that.
         val parts = now - lastParts > PARTS_EVERY
         val batches = table.jobs.values.filter { !it.ended && it.done.count > it.finished.count && (parts || it.done.all) }.take(MAX_BATCHES)
-            .map { FinishedBatch(it.id, it.version, it.done, it.done.beyond(it.finished)) }
+            .map { FinishedBatch(it.id, it.version, it.done, it.done.beyond(it.finished), if (it.done.all) account(leading, it) else null, it.hold != null) }
         if (batches.isEmpty()) return
         recording = true
         if (parts) lastParts = now
--- a/src/main/kotlin/org/elderhitch/workers/Reconciler.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Reconciler.kt
@@ -59,6 +59,7 @@
             placement = null
         }
         if (task.phase == TaskPhase.EXITED) {
+            if (task.cause !in NEVER_BEGAN) placement?.let { seen(job, it) }
             if (task.cause == ExitCause.DONE) finished(job, index) else exited(worker, job, task, placement)
             placement?.let { table.remove(job, it) }
             return
@@ -72,7 +73,7 @@
             log.debug("task task={} phase={} machine={} class={}", task.task, task.phase, worker.id, job.spec.jobClass)
         }
         if (placement.certainty != Certainty.REPORTED || placement.phase != task.phase) worker.changed()
-        placement.certainty = Certainty.REPORTED
+        seen(job, placement)
         if (placement.phase != task.phase) table.dirty = true
         placement.phase = task.phase
         if (task.phase == TaskPhase.FETCHING && placement.fetchingSince == null) placement.fetchingSince = clock.now()
@@ -81,8 +82,16 @@
         if (job.ended && placement.stop == null) table.stop(job, placement, Duration.ZERO)
     }
 
+    private fun seen(job: JobState, placement: Placement) {
+        if (placement.certainty == Certainty.REPORTED) return
+        placement.certainty = Certainty.REPORTED
+        job.tally.seenStarting(clock.now())
+    }
+
     private fun finished(job: JobState, index: Int) {
         if (index in job.done) return
+        // Of a gang, all members have run: they complete together.
+        if (job.isGang) job.placements.values.forEach { job.tally.completed(it, clock.now()) } else job.placements[index]?.let { job.tally.completed(it, clock.now()) }
         log.debug("task done task={}/{}", job.id, index)
         // A gang completes as a whole: one member's word is all members'.
         if (job.isGang) repeat(job.spec.tasks) { job.done.add(it) } else job.done.add(index)
@@ -93,7 +102,10 @@
         if (placement == null) return
         val now = clock.now()
         when (task.cause) {
-            ExitCause.ERROR -> faults.erred(worker, job, task, now)
+            ExitCause.ERROR -> {
+                placement.failed = true
+                faults.erred(worker, job, task, now)
+            }
             ExitCause.NO_ROOM, ExitCause.BUSY, ExitCause.UNKNOWN -> {
                 log.info("start refused task={} machine={} cause={}", task.task, worker.id, task.cause)
                 worker.shun(job.id, now + REFUSED_PAUSE)
@@ -105,5 +117,8 @@
 
     private companion object {
         val REFUSED_PAUSE = 5.seconds
+
+        /** The worker refused the start: there was no attempt. */
+        val NEVER_BEGAN = setOf(ExitCause.NO_ROOM, ExitCause.BUSY, ExitCause.UNKNOWN)
     }
 }
--- a/src/main/kotlin/org/elderhitch/workers/RoundFeed.kt
+++ b/src/main/kotlin/org/elderhitch/workers/RoundFeed.kt
@@ -112,7 +112,7 @@
     }
 
     private fun jobView(job: JobState, leading: Tenure.Leading, mayHide: (JobSpec) -> Boolean, now: Moment): JobView? {
-        if (job.ended || now < job.notBefore || job.done.all) return null
+        if (job.ended || now < job.notBefore || job.done.all || job.hold != null || job.holding) return null
         // A task that no report names may still run on a silent worker, if its job is older than our term.
         if (job.version <= leading.counter && mayHide(job.spec)) return null
         if (job.isGang) {
@@ -135,7 +135,7 @@
         }
         if (pending.isEmpty()) return null
         val join = if (job.isGang && job.placements.isNotEmpty()) job.gang.attempt else null
-        return JobView(job.spec, job.version, pending, job.zones(), join, due = job.openedAt + (aims[job.spec.jobClass] ?: longestAim), probe = probes != null)
+        return JobView(job.spec, job.version, pending, job.zones(), join, due = job.openedAt + (aims[job.spec.jobClass] ?: longestAim), probe = probes != null, atFault = faults.atFault(job))
     }
 
     private companion object {
--- /dev/null
+++ b/src/main/kotlin/org/elderhitch/workers/Tally.kt
@@ -0,0 +1,71 @@
+package org.elderhitch.workers
+
+import org.elderhitch.jobs.Account
+import org.elderhitch.jobs.JobKind
+import org.elderhitch.time.Moment
+import org.elderhitch.time.WallTime
+import kotlin.time.Duration
+import kotlin.time.DurationUnit
+
+/**
+ * What this term has seen of a job's work. A run counts from when it was first seen running to when it was last: useful
+ * if it completed, served or was saved, lost otherwise. An earlier term's part is not guessed: [Account.lowerBound] says so.
+ */
+internal class Tally {
+    var attempts = 0L
+        private set
+    var lost = 0L
+        private set
+    private var useful = Duration.ZERO
+    private var wasted = Duration.ZERO
+    private var firstStart = Moment.FOREVER
+
+    /** Starts of each task that came to nothing by themselves; kept only where a rule asks for it. */
+    private var failures: HashMap<Int, Int>? = null
+
+    fun seenStarting(now: Moment) {
+        attempts++
+        if (now < firstStart) firstStart = now
+    }
+
+    fun completed(placement: Placement, now: Moment) {
+        placement.counted = true
+        useful += ran(placement, now)
+    }
+
+    /** The task is no longer on its machine, and [completed] was not called for it. */
+    fun gone(job: JobState, placement: Placement, now: Moment, counting: Boolean) {
+        if (placement.counted || placement.certainty != Certainty.REPORTED) return
+        placement.counted = true
+        val ran = ran(placement, now)
+        val saved = placement.stop.let { it != null && job.spec.saves && it >= job.spec.saveTakes }
+        if (saved || job.spec.kind == JobKind.SERVICE) useful += ran else wasted += ran
+        if (placement.stop != null) return
+        lost++
+        // A member of a gang that waited in vain for the others, or a fetch that was cut short, says nothing of the task.
+        if (counting && (placement.failed || placement.runsSince != null)) (failures ?: HashMap<Int, Int>().also { failures = it }).merge(placement.task.index, 1, Int::plus)
+    }
+
+    fun failuresOf(index: Int): Int = failures?.get(index) ?: 0
+
+    fun forgive() {
+        failures = null
+    }
+
+    private fun ran(placement: Placement, now: Moment): Duration = placement.runsSince?.let { now - it } ?: Duration.ZERO
+
+    fun account(job: JobState, now: Moment, wall: WallTime, lowerBound: Boolean): Account {
+        var serving = useful
+        var open = wasted
+        for (p in job.placements.values) {
+            if (p.counted) continue
+            if (job.spec.kind == JobKind.SERVICE) serving += ran(p, now) else open += ran(p, now)
+        }
+        return Account(
+            job.spec.team, job.spec.jobClass, attempts, lost, seconds(serving), seconds(open),
+            if (firstStart == Moment.FOREVER) null else wall - (now - firstStart), wall, lowerBound,
+        )
+    }
+
+    private fun seconds(span: Duration): Double = span.toDouble(DurationUnit.SECONDS)
+}
--- a/src/main/kotlin/org/elderhitch/workers/TaskTable.kt
+++ b/src/main/kotlin/org/elderhitch/workers/TaskTable.kt
@@ -8,6 +8,9 @@
 
 /** The leader's table: the open jobs, the workers that report, and which task is where. */
 internal class TaskTable(private val clock: SteadyClock) {
+    /** Told when a task that was seen on a machine is gone from it without having completed. */
+    var onLost: (JobState, Placement) -> Unit = { _, _ -> }
+
     val jobs = LinkedHashMap<JobId, JobState>()
     val workers = HashMap<MachineId, WorkerState>()
 
@@ -23,6 +26,7 @@
         undelivered.clear()
         for (job in jobs.values) {
             job.placements.clear()
+            job.tally = Tally()
             job.done.addAll(job.finished)
             job.gang.reset()
         }
@@ -36,6 +40,7 @@
         worker.placements[task] = placement
         worker.changed()
         if (certainty == Certainty.ASSIGNED) undelivered.add(worker)
+        if (certainty == Certainty.REPORTED) job.tally.seenStarting(clock.now())
         return placement
     }
 
@@ -51,6 +56,7 @@
 
     fun remove(job: JobState, placement: Placement) {
         if (job.placements[placement.task.index] === placement) job.placements.remove(placement.task.index)
+        if (!placement.counted) onLost(job, placement)
         placement.worker.placements.remove(placement.task)
         placement.worker.changed()
         if (placement.worker.placements.isEmpty()) placement.worker.idleSince = clock.now()
--- a/src/main/kotlin/org/elderhitch/workers/WorkerState.kt
+++ b/src/main/kotlin/org/elderhitch/workers/WorkerState.kt
@@ -1,6 +1,7 @@
 package org.elderhitch.workers
 
 import org.elderhitch.http.Address
+import org.elderhitch.jobs.Hold
 import org.elderhitch.jobs.Image
 import org.elderhitch.jobs.JobId
 import org.elderhitch.jobs.JobSpec
@@ -52,6 +53,12 @@
     /** When it was first seen fetching its image; null: it has not been. */
     var fetchingSince: Moment? = null
 
+    /** The task exited with an error. */
+    var failed: Boolean = false
+
+    /** Its run stands in the job's account. */
+    var counted: Boolean = false
+
     /** When it was first seen running; null: it has not been. */
     var runsSince: Moment? = null
 
@@ -158,6 +165,13 @@
     val gang = GangState()
     val erredOn = HashSet<MachineId>()
     var notBefore: Moment = Moment.NEVER
+    var tally = Tally()
+
+    /** Recorded: nothing of it is started. */
+    var hold: Hold? = null
+
+    /** A hold is being recorded, or may be: nothing of it is started either. */
+    var holding = false
     val id: JobId get() = spec.id
 
     fun zones(): Map<Zone, Int> {
--- /dev/null
+++ b/src/test/kotlin/org/elderhitch/app/HoldsAndAccountsTest.kt
@@ -0,0 +1,156 @@
+package org.elderhitch.app
+
+import kotlinx.coroutines.delay
+import org.elderhitch.features.Features
+import org.elderhitch.jobs.ClassRule
+import org.elderhitch.jobs.ClassRules
+import org.elderhitch.jobs.EndRecord
+import org.elderhitch.jobs.Footprint
+import org.elderhitch.jobs.JobId
+import org.elderhitch.json.JsonObject
+import org.elderhitch.lab.World
+import org.elderhitch.lab.WorldSettings
+import org.elderhitch.store.Keys
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+
+class HoldsAndAccountsTest {
+    private val rules = Features(ClassRules(mapOf("once" to ClassRule(repeats = false), "thrice" to ClassRule(attempts = 3))), emptyList())
+
+    private fun World.ending(id: String) = assertNotNull(EndRecord.decode(assertNotNull(platform.state.value(Keys.end(JobId(id))))))
+
+    private suspend fun World.why(id: String): String = ask("GET", "/explain/$id").second["why"].toString()
+
+    @Test
+    fun `an ending carries the account of the job's work`() = world {
+        submit("req-1", "array", 4, 5.0)
+        submit("req-2", "gang", 3, 6.0)
+        submit("req-3", "daemon", 2, 0.0)
+        until("done", 90.seconds) { standing("req-1") == "done" && standing("req-2") == "done" }
+        for ((id, tasks, runs) in listOf(Triple("req-1", 4, 5.0), Triple("req-2", 3, 6.0))) {
+            val account = assertNotNull(ending(id).account)
+            assertEquals(listOf(tasks.toLong(), 0L), listOf(account.attempts, account.lost))
+            assertTrue(account.usefulS in tasks * (runs - 2)..tasks * (runs + 3), "$id: $account")
+            assertTrue(!account.lowerBound && assertNotNull(account.firstStart) < account.end, "$id: $account")
+        }
+        // Whichever node writes the ending of a withdrawn job asks the leader for its account.
+        val follower = names.first { it != leader() }
+        ask("POST", "/work/req-3/withdraw", node = follower)
+        val account = assertNotNull(ending("req-3").account)
+        assertEquals(2L, account.attempts)
+        assertTrue(account.usefulS > 4 && !account.lowerBound, "$account")
+        assertTrue("withdrawn at" in why("req-3"))
+        assertRulesKept()
+    }
+
+    @Test
+    fun `lost attempts are counted, and a takeover makes the account a lower bound`() = world {
+        submit("req-1", "array", 2, 20.0)
+        until("both run", 60.seconds) { onMachine.size == 2 }
+        delay(3.seconds)
+        platform.kill(assertNotNull(onMachine["req-1/0"]))
+        until("done", 120.seconds) { standing("req-1") == "done" }
+        val account = assertNotNull(ending("req-1").account)
+        assertTrue(account.attempts >= 3 && account.lost >= 1 && !account.lowerBound, "$account")
+        submit("req-2", "array", 2, 15.0)
+        until("both run", 60.seconds) { onMachine.size == 2 }
+        crash(assertNotNull(leader()))
+        until("done", 120.seconds) { standing("req-2") == "done" }
+        assertTrue(assertNotNull(ending("req-2").account).lowerBound)
+        assertRulesKept()
+    }
+
+    @Test
+    fun `endings from before there were accounts still count`() {
+        val old = assertNotNull(EndRecord.decode(JsonObject.of(mapOf("end" to "done", "done" to 3L))))
+        assertEquals("done" to 3, old.standing().word to old.done)
+        assertEquals(null, old.account)
+        assertEquals(null, EndRecord.decode(JsonObject.of(mapOf("end" to "done", "done" to 3L, "acct" to mapOf("team" to 5L)))))
+    }
+
+    @Test
+    fun `a task that fails as often as its class allows has its job held until it is released`() = world(WorldSettings(features = rules)) {
+        failing = { task, _ -> task == "req-1/1" }
+        submit("req-1", "array", 2, 3.0, mapOf("lotClass" to "thrice"))
+        until("held", 200.seconds) { "rule attempts = 3" in why("req-1") }
+        assertEquals(3, startsOf["req-1/1"])
+        assertEquals("queued", standing("req-1"))
+        delay(100.seconds)
+        assertEquals(3, startsOf["req-1/1"])
+        // The hold is recorded: the next leader keeps it.
+        crash(assertNotNull(leader()))
+        delay(60.seconds)
+        assertEquals(3, startsOf["req-1/1"])
+        failing = { _, _ -> false }
+        assertEquals(400, ask("POST", "/release/req-1", mapOf("reason" to " ")).first)
+        assertEquals(200, ask("POST", "/release/req-1", mapOf("reason" to "the image is mended")).first)
+        until("done", 120.seconds) { standing("req-1") == "done" }
+        assertEquals(404, ask("POST", "/release/req-1", mapOf("reason" to "again")).first)
+        assertTrue(platform.state.keys().none { it.startsWith("v/a/hold/") }, "a hold outlived its job")
+        assertRulesKept()
+    }
+
+    @Test
+    fun `a held job can be withdrawn, and its hold goes with it`() = world(WorldSettings(features = rules)) {
+        failing = { _, _ -> true }
+        submit("req-1", "array", 1, 3.0, mapOf("lotClass" to "thrice"))
+        // Each failure keeps the job from that machine for five minutes.
+        until("held", 1200.seconds) { "held (attempts)" in why("req-1") }
+        assertEquals("withdrawn", ask("POST", "/work/req-1/withdraw").second["standing"])
+        delay(5.seconds)
+        assertTrue(platform.state.keys().none { it.startsWith("v/a/hold/") }, "a hold outlived its job")
+    }
+
+    @Test
+    fun `what may not be repeated is refused for good, and what may is a job of its own`() = world(WorldSettings(features = rules)) {
+        submit("req-1", "array", 1, 1.0, mapOf("lotClass" to "once"))
+        submit("req-2", "array", 1, 1.0)
+        val again = Rehearsal.exampleJob("req-3", "array")
+        val (status, answer) = ask("POST", "/work", again + mapOf("lotClass" to "once", "repeatOf" to "req-1"))
+        assertEquals(422, status)
+        assertTrue("once" in answer["error"].toString() && "repeats = false" in answer["error"].toString(), "$answer")
+        assertEquals(422, ask("POST", "/work", again + mapOf("repeatOf" to "req-99")).first)
+        assertEquals(422, ask("POST", "/work", again + mapOf("repeatOf" to "req-1")).first)
+        assertEquals(400, ask("POST", "/work", again + mapOf("repeatOf" to "nonsense")).first)
+        assertEquals(201, ask("POST", "/work", again + mapOf("repeatOf" to "req-2")).first)
+        assertEquals(200, ask("POST", "/work", again + mapOf("repeatOf" to "req-2")).first)
+    }
+
+    @Test
+    fun `explain says what a job waits for, on every node`() = world {
+        submit("req-1", "gang", 5, 30.0, mapOf("accelerators" to 8.0, "cores" to 40.0, "memGb" to 200.0))
+        submit("req-2", "array", 2, 3.0)
+        until("the gang runs", 90.seconds) { onMachine.keys.count { it.startsWith("req-1/") } == 5 }
+        for (node in names) {
+            val (status, answer) = ask("GET", "/explain/req-2", node = node)
+            assertEquals(200, status)
+            assertTrue("team's limit: 40.0 of 40.0 GPUs" in answer["why"].toString(), "$node: $answer")
+        }
+        until("the gang is reported", 5.seconds) { "5 running" in why("req-1") }
+        assertEquals(404, ask("GET", "/explain/req-9").first)
+        assertEquals(404, ask("GET", "/explain/nonsense").first)
+        assertEquals(405, ask("POST", "/explain/req-1").first)
+    }
+
+    @Test
+    fun `no more is accepted than the smallest node can hold, and what was accepted stays so`() {
+        val most = Footprint(5 * 1_402L)
+        world(WorldSettings(bound = { if (it == "n2") most else Footprint(1L shl 40) })) {
+            delay(3.seconds)
+            var refusedAt = 0
+            val job = { n: Int -> Rehearsal.exampleJob("req-$n", "array") + mapOf("crates" to 1, "haulS" to 2.0) }
+            for (n in 1..8) if (ask("POST", "/work", job(n), node = names[n % 3]).first == 503 && refusedAt == 0) refusedAt = n
+            assertEquals(6, refusedAt)
+            for (node in names) {
+                // Repeats, polls and withdrawals go on.
+                assertEquals(200, ask("POST", "/work", job(1), node = node).first)
+                assertEquals(200, ask("GET", "/work/req-2", node = node).first)
+            }
+            assertEquals(200, ask("POST", "/work/req-5/withdraw").first)
+            until("taken again", 60.seconds) { ask("POST", "/work", job(9), node = "n0").first == 201 }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/org/elderhitch/features/FeaturesFileTest.kt
@@ -0,0 +1,43 @@
+package org.elderhitch.features
+
+import org.elderhitch.settings.BadScript
+import java.io.File
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+
+class FeaturesFileTest {
+    private val file = File("f.lua")
+
+    @Test
+    fun `rules of classes are read, and what has none is free`() {
+        val features = FeaturesFile.parse(file, "return { classes = { ['a-b'] = { repeats = false, attempts = 1 + 2 }, c = {} } }")
+        assertFalse(features.rules.of("a-b").repeats)
+        assertEquals(3, features.rules.of("a-b").attempts)
+        assertTrue(features.rules.of("c").repeats)
+        assertEquals(null, features.rules.of("other").attempts)
+        assertEquals(0, features.factories.size)
+    }
+
+    @Test
+    fun `each mistake is told with file, line and key`() {
+        val cases = mapOf(
+            "return {\n  clases = {}\n}" to "f.lua:2: clases: unknown",
+            "return {\n  classes = {\n    a = {},\n    ['b-c'] = {\n      attempts = 0 } } }" to "f.lua:5: classes.b-c.attempts: must be a whole number",
+            "return {\n  classes = {\n    a = { attempts = 2 },\n    b = { attempts = 2.5 } } }" to "f.lua:4: classes.b.attempts",
+            "return { classes = { a = { repeats = 'no' } } }" to "f.lua:1: classes.a.repeats: must be true or false",
+            "return {\n\n classes = { a = 7 } }" to "f.lua:3: classes.a: must be a table",
+            "return 5" to "f.lua: must return a table",
+            "return {" to "f.lua:1",
+            "while true do end" to "the script takes too long",
+            "return { drmaa = true }" to "f.lua:1: drmaa: must be a table",
+        )
+        for ((script, told) in cases) {
+            val error = assertFailsWith<BadScript>(script) { FeaturesFile.parse(file, script) }
+            assertTrue(told in error.message.orEmpty(), "$script: ${error.message}")
+        }
+        assertFailsWith<BadScript> { FeaturesFile.load(File("no-such-file.lua")) }
+    }
+}
