--- a/src/main/kotlin/org/elderhitch/app/Edge.kt
+++ b/src/main/kotlin/org/elderhitch/app/Edge.kt
@@ -44,8 +44,9 @@
         }
         request.path == "/status" -> only("GET", request) { Response(OK, Json.bytes(status())) }
         request.path == "/work" || request.path.startsWith("/work/") -> meters.timed(request) { user(request) }
-        request.path.startsWith(EXPLAIN) || request.path.startsWith(RELEASE) || features.at(request.path) != null -> user(request)
-        else -> HttpServer.refusal(NOT_FOUND, "no such path")
+        request.path.startsWith(EXPLAIN) || request.path.startsWith(RELEASE) -> user(request)
+        // Their clients know all nodes: what this one can't answer isn't handed on.
+        else -> features.at(request.path)?.handle(request) ?: HttpServer.refusal(NOT_FOUND, "no such path")
     }
 
     private suspend fun report(request: Request): Response {
@@ -74,7 +75,7 @@
     public suspend fun serveHere(request: Request): Response = when {
         request.path.startsWith(EXPLAIN) -> only("GET", request) { explain(request.path.removePrefix(EXPLAIN)) }
         request.path.startsWith(RELEASE) -> only("POST", request) { release(request) }
-        else -> features.at(request.path)?.handle(request) ?: work(request)
+        else -> work(request)
     }
 
     private suspend fun explain(text: String): Response {
--- a/src/main/kotlin/org/elderhitch/app/ForemanWiring.kt
+++ b/src/main/kotlin/org/elderhitch/app/ForemanWiring.kt
@@ -1,6 +1,7 @@
 package org.elderhitch.app
 
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.elderhitch.features.FeatureSet
 import org.elderhitch.fleet.FleetMessage
@@ -31,6 +32,7 @@
 import org.elderhitch.workers.ImageHints
 import org.elderhitch.workers.MachineId
 import org.elderhitch.workers.WorkerLine
+import kotlin.time.Duration.Companion.seconds
 
 /** What the foreman asks of the other slices; whatever takes time runs beside it and comes back as a message. */
 internal class ForemanWiring(
@@ -68,15 +70,23 @@
         if (!features().keepsFinished(job)) scope.launch { recorder.forget(tenure, job, blocks) }
     }
 
-    override fun hold(tenure: Tenure.Leading, job: JobId, version: Revision, hold: Hold) {
+    override fun hold(tenure: Tenure.Leading, job: JobId, version: Revision, before: Revision, hold: Hold) {
         scope.launch {
-            val outcome = when (val written = recorder.hold(tenure, job, version, hold)) {
-                is CommitOutcome.Committed -> HoldWrite.WRITTEN
-                is CommitOutcome.Conflict -> if (Keys.TERM in written.failed) HoldWrite.NOT_WRITTEN else HoldWrite.JOB_GONE
-                CommitOutcome.Unknown -> HoldWrite.UNKNOWN
-                CommitOutcome.Refused, CommitOutcome.NoSuchLease -> HoldWrite.NOT_WRITTEN
+            var unclear = false
+            while (true) {
+                val outcome = when (val written = recorder.hold(tenure, job, version, before, hold)) {
+                    is CommitOutcome.Committed -> HoldWrite.WRITTEN
+                    is CommitOutcome.Conflict -> if (Keys.job(job) in written.failed && Keys.TERM !in written.failed) HoldWrite.JOB_GONE else HoldWrite.NOT_WRITTEN
+                    CommitOutcome.Unknown -> HoldWrite.UNKNOWN
+                    // Says nothing of an earlier try that nobody answered: that one may yet be carried out.
+                    CommitOutcome.Refused, CommitOutcome.NoSuchLease -> if (unclear) HoldWrite.UNKNOWN else HoldWrite.NOT_WRITTEN
+                }
+                tell(ForemanMessage.HoldWritten(tenure.term, job, outcome))
+                if (outcome != HoldWrite.UNKNOWN) return@launch
+                unclear = true
+                // Nothing of the job is started until this is clear: it must become so.
+                delay(HOLD_AGAIN)
             }
-            tell(ForemanMessage.HoldWritten(tenure.term, job, outcome))
         }
     }
 
@@ -109,4 +119,8 @@
         running = counts
         book.tell(JobMessage.Running(counts))
     }
+
+    private companion object {
+        val HOLD_AGAIN = 1.seconds
+    }
 }
--- a/src/main/kotlin/org/elderhitch/app/Main.kt
+++ b/src/main/kotlin/org/elderhitch/app/Main.kt
@@ -5,6 +5,7 @@
 import com.github.ajalt.clikt.core.main
 import com.github.ajalt.clikt.core.subcommands
 import com.github.ajalt.clikt.parameters.options.versionOption
+import org.elderhitch.drmaa.DrmaaCommand
 
 private class Elderhitch : CoreCliktCommand(name = "elderhitch") {
     init {
@@ -20,5 +21,8 @@
     Logging.configure(System.getenv("LOG_LEVEL"))
     // What the platform starts: "--config FILE" alone is "serve --config FILE".
     val words = if (args.firstOrNull() == "--config") arrayOf("serve", *args) else args
-    Elderhitch().subcommands(Serve(), Submit(), Show(), Withdraw(), Explain(), Release(), Status(), StandIns(), Rehearse()).main(words)
+    val commands = listOf(Serve(), Submit(), Show(), Withdraw(), Explain(), Release(), Status(), StandIns(), Rehearse())
+    // The daemon starts on a small share of a core: it loads nothing of what others may do.
+    val others = if (words.firstOrNull() == "serve") emptyList() else listOf(DrmaaCommand())
+    Elderhitch().subcommands(commands + others).main(words)
 }
--- /dev/null
+++ b/src/main/kotlin/org/elderhitch/drmaa/DrmaaSettings.kt
@@ -0,0 +1,79 @@
+package org.elderhitch.drmaa
+
+import org.elderhitch.features.FeatureFactory
+import org.elderhitch.features.SectionReader
+import org.elderhitch.settings.LuaSection
+import java.io.File
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.days
+
+/** What the operators set for DRMAA. */
+public class DrmaaSettings(
+    public val tokens: Tokens,
+    public val networks: Networks,
+    public val categories: Map<String, Map<String, Any?>>,
+    public val sessionsPerTeam: Int = 50,
+    /** Open jobs and results that nobody took, of one session; a bulk job counts by its members. */
+    public val resultsPerSession: Int = 200_000,
+    public val heldPerTeam: Int = 500,
+    /** How long a result that nobody took is kept. */
+    public val keepResults: Duration = 7.days,
+    /** How long a session that nobody uses is kept. */
+    public val keepSessions: Duration = 30.days,
+)
+
+/** The section `drmaa` of the features file. */
+public class DrmaaSection : SectionReader {
+    override fun read(section: LuaSection, file: File): FeatureFactory {
+        val settings = settings(section, file)
+        return FeatureFactory { Drmaa(settings, it) }
+    }
+
+    internal fun settings(section: LuaSection, file: File): DrmaaSettings {
+        section.allow(KEYS)
+        val keyFile = section.text("keys") ?: section.bad("keys", "missing: DRMAA doesn't start without a key file")
+        val tokens = try {
+            Tokens.load(File(keyFile).let { if (it.isAbsolute) it else File(file.absoluteFile.parentFile, keyFile) })
+        } catch (e: BadKeys) {
+            section.bad("keys", e.message.orEmpty())
+        }
+        val networks = try {
+            Networks.of(section.texts("networks") ?: Networks.LOOPBACK)
+        } catch (e: IllegalArgumentException) {
+            section.bad("networks", e.message.orEmpty())
+        }
+        return DrmaaSettings(
+            tokens, networks, section.section("categories")?.let(::categories).orEmpty(),
+            section.whole("sessions_per_team", 1, MOST_SESSIONS) ?: DEFAULT_SESSIONS,
+            section.whole("results_per_session", 1, MOST_RESULTS) ?: DEFAULT_RESULTS,
+            section.whole("held_per_team", 0, MOST_HELD) ?: DEFAULT_HELD,
+            (section.number("keep_results_days", LEAST_DAYS, MOST_DAYS) ?: DEFAULT_RESULT_DAYS).days,
+            (section.number("keep_sessions_days", LEAST_SESSION_DAYS, MOST_DAYS) ?: DEFAULT_SESSION_DAYS).days,
+        )
+    }
+
+    private fun categories(section: LuaSection): Map<String, Map<String, Any?>> = section.keys.associateWith { name ->
+        val category = section.section(name) ?: section.bad(name, "must be a table of a native job's fields")
+        category.allow(TemplateCheck.CATEGORY_FIELDS)
+        category.keys.associateWith { category.plain(it) }
+    }
+
+    private companion object {
+        val KEYS = listOf(
+            "keys", "networks", "categories", "sessions_per_team", "results_per_session", "held_per_team", "keep_results_days", "keep_sessions_days",
+        )
+        const val MOST_SESSIONS = 1000
+        const val MOST_RESULTS = 1_000_000
+        const val MOST_HELD = 5000
+        const val DEFAULT_SESSIONS = 50
+        const val DEFAULT_RESULTS = 200_000
+        const val DEFAULT_HELD = 500
+        const val LEAST_DAYS = 0.01
+
+        /** That a session is in use is left in the state service once an hour. */
+        const val LEAST_SESSION_DAYS = 0.1
+        const val MOST_DAYS = 3650.0
+        const val DEFAULT_RESULT_DAYS = 7.0
+        const val DEFAULT_SESSION_DAYS = 30.0
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/elderhitch/drmaa/Names.kt
@@ -0,0 +1,141 @@
+package org.elderhitch.drmaa
+
+import org.elderhitch.jobs.FinishedTasks
+import org.elderhitch.jobs.JobCodec
+import org.elderhitch.jobs.JobId
+
+/** A DRMAA session. Its name is derived from what its client chose, so that an opening that is repeated opens it once. */
+@JvmInline
+public value class SessionName(public val text: String) : Comparable<SessionName> {
+    override fun compareTo(other: SessionName): Int = text.compareTo(other.text)
+    override fun toString(): String = text
+
+    public companion object {
+        public const val LENGTH: Int = 12
+        private val FORM = Regex("[a-z0-9]{$LENGTH}")
+
+        public fun parse(text: String): SessionName? = if (FORM.matches(text)) SessionName(text) else null
+    }
+}
+
+/** One run of a client program; several may share a session. */
+@JvmInline
+public value class ClientTag(public val text: String) : Comparable<ClientTag> {
+    override fun compareTo(other: ClientTag): Int = text.compareTo(other.text)
+    override fun toString(): String = text
+
+    public companion object {
+        public const val LENGTH: Int = 8
+        private val FORM = Regex("[a-z0-9]{$LENGTH}")
+
+        public fun parse(text: String): ClientTag? = if (FORM.matches(text)) ClientTag(text) else null
+    }
+}
+
+/** One thing that a client asked for: repeated under the same number, it is the same thing. */
+public data class RequestId(val tag: ClientTag, val number: Int) {
+    override fun toString(): String = "$tag-$number"
+
+    public companion object {
+        public fun parse(text: String): RequestId? {
+            val tag = ClientTag.parse(text.substringBefore('-')) ?: return null
+            return RequestId(tag, text.substringAfter('-', "").toIntOrNull()?.takeIf { it in 0..JobName.LARGEST } ?: return null)
+        }
+    }
+}
+
+/**
+ * The job that a client's request [number] submitted. All that tells to whom a job belongs, and how many members a bulk job has,
+ * stands in its id: it costs no change in the state service, and it outlives the job's record.
+ */
+public data class JobName(val session: SessionName, val tag: ClientTag, val number: Int, val members: Int?) {
+    public val id: JobId get() = JobId(toString())
+
+    override fun toString(): String = "$PREFIX$session-$tag-${number.toString().padStart(DIGITS, '0')}" + (members?.let { "x$it" } ?: "")
+
+    public companion object {
+        public const val PREFIX: String = "req-d"
+        public const val LARGEST: Int = 99_999_999
+        private const val DIGITS = 8
+        private val FORM = Regex("$PREFIX([a-z0-9]{${SessionName.LENGTH}})-([a-z0-9]{${ClientTag.LENGTH}})-([0-9]{$DIGITS})(?:x([1-9][0-9]{0,5}))?")
+
+        /** Null for a job that no session submitted. */
+        public fun parse(id: JobId): JobName? {
+            if (!id.text.startsWith(PREFIX)) return null
+            val (session, tag, number, members) = FORM.matchEntire(id.text)?.destructured ?: return null
+            val count = if (members.isEmpty()) null else members.toInt().takeIf { it <= JobCodec.MOST_TASKS } ?: return null
+            return JobName(SessionName(session), ClientTag(tag), number.toInt(), count)
+        }
+    }
+}
+
+/** What a client waits for and takes away once: a job, or a member of a bulk job. */
+public data class ResultName(val job: JobName, val member: Int?) {
+    override fun toString(): String = if (member == null) job.toString() else "$job/$member"
+
+    /** The block of results that it is taken from, one value of the state service each. */
+    public val block: ReapKey
+        get() = if (member == null) {
+            ReapKey(job.session, job.tag, null, FinishedTasks.blockOf(job.number))
+        } else {
+            ReapKey(job.session, job.tag, job.number, FinishedTasks.blockOf(member))
+        }
+
+    /** Its place in the block. */
+    public val place: Int get() = (member ?: job.number) % FinishedTasks.BLOCK
+
+    public companion object {
+        public fun parse(text: String): ResultName? {
+            val job = JobId.parse(text.substringBefore('/'))?.let(JobName::parse) ?: return null
+            if ('/' !in text) return if (job.members == null) ResultName(job, null) else null
+            val member = text.substringAfter('/').toIntOrNull() ?: return null
+            return if (job.members != null && member in 0 until job.members) ResultName(job, member) else null
+        }
+    }
+}
+
+/** Names a value that says which results of a client (or, with [bulk], which members of its bulk job) were taken away. */
+public data class ReapKey(val session: SessionName, val tag: ClientTag, val bulk: Int?, val block: Int) {
+    override fun toString(): String = "$PREFIX$session/$tag" + (bulk?.let { ".$it" } ?: "") + "/$block"
+
+    public companion object {
+        private const val PREFIX = "v/drmaa/r/"
+        private const val PARTS = 3
+
+        public fun prefix(session: SessionName): String = "$PREFIX$session/"
+
+        public fun parse(key: String): ReapKey? {
+            if (!key.startsWith(PREFIX)) return null
+            val parts = key.substring(PREFIX.length).split('/')
+            if (parts.size != PARTS) return null
+            val session = SessionName.parse(parts[0]) ?: return null
+            val tag = ClientTag.parse(parts[1].substringBefore('.')) ?: return null
+            val bulk = if ('.' in parts[1]) parts[1].substringAfter('.').toIntOrNull() ?: return null else null
+            return ReapKey(session, tag, bulk, parts[2].toIntOrNull()?.takeIf { it >= 0 } ?: return null)
+        }
+    }
+}
+
+/** The other names of this direction in the state service. */
+public object DrmaaKeys {
+    private const val SESSION = "v/a/drmaa/s/"
+    private const val HELD = "v/a/drmaa/h/"
+    private const val CLOSED = "v/drmaa/x/"
+
+    public fun session(name: SessionName): String = SESSION + name
+
+    public fun held(job: JobName): String = HELD + job
+
+    public fun closed(name: SessionName): String = CLOSED + name
+
+    public fun sessionOf(key: String): SessionName? = if (key.startsWith(SESSION)) SessionName.parse(key.substring(SESSION.length)) else null
+
+    public fun heldOf(key: String): JobName? = if (key.startsWith(HELD)) JobId.parse(key.substring(HELD.length))?.let(JobName::parse) else null
+
+    public const val ALL_CLOSED: String = CLOSED
+
+    public fun closedOf(key: String): SessionName? = if (key.startsWith(CLOSED)) SessionName.parse(key.substring(CLOSED.length)) else null
+
+    /** Where the endings of a session's jobs stand. */
+    public fun endings(name: SessionName): String = "v/z/end/${JobName.PREFIX}$name-"
+}
--- a/src/main/kotlin/org/elderhitch/jobs/Hold.kt
+++ b/src/main/kotlin/org/elderhitch/jobs/Hold.kt
@@ -14,12 +14,21 @@
 
     /** A task was started as often as the rule of its class allows. */
     ATTEMPTS,
+
+    /**
+     * No hold any more. The key stays until the job ends: were it dropped, a write of the hold that was carried out late would find
+     * it absent, as it expects, and hold what its user had released (seen in a test of such a write).
+     */
+    RELEASED,
 }
 
 /** Stands under a key of its own beside the job's record: whoever leads starts nothing of the job while the key is there. */
 public data class Hold(val kind: HoldKind, val reason: String, val version: Revision) {
     public fun encode(): Map<String, Any?> = linkedMapOf("hold" to kind.name.lowercase(), "why" to reason)
 
+    /** Null if the key only remembers one. */
+    public val effective: Hold? get() = takeIf { kind != HoldKind.RELEASED }
+
     public companion object {
         private const val LONGEST_REASON = 300
 
--- a/src/main/kotlin/org/elderhitch/jobs/JobBook.kt
+++ b/src/main/kotlin/org/elderhitch/jobs/JobBook.kt
@@ -42,7 +42,11 @@
     public data object Absent : Known
 
     /** [version] is that of the job's record: its place in the order of jobs. */
-    public data class Open(val spec: JobSpec, val version: Revision, val standing: Standing, val hold: Hold? = null) : Known
+    public data class Open(val spec: JobSpec, val version: Revision, val standing: Standing, val holdKey: Hold? = null) : Known {
+        /** Null: it may be started. */
+        public val hold: Hold? get() = holdKey?.effective
+    }
+
     public data class Ended(val record: EndRecord) : Known
 }
 
@@ -68,8 +72,8 @@
     public data class Finished(val id: JobId, val tasks: FinishedTasks) : JobEvent
     public data class Ended(val id: JobId) : JobEvent
 
-    /** [hold]: null when it is released. */
-    public data class Held(val id: JobId, val hold: Hold?) : JobEvent
+    /** [key]: what stands under the key of the job's hold; null: nothing does. */
+    public data class Held(val id: JobId, val key: Hold?) : JobEvent
 }
 
 /** The open jobs, and a bounded memory of ended ones; the state service remembers the rest. */
--- a/src/main/kotlin/org/elderhitch/jobs/JobDesk.kt
+++ b/src/main/kotlin/org/elderhitch/jobs/JobDesk.kt
@@ -182,7 +182,7 @@
             val outcome = client.commit(
                 // Done or withdrawn: whoever creates the key of the ending has decided it.
                 listOf(Condition(Keys.end(id), Revision.ABSENT), Condition(Keys.job(id), open.version)),
-                listOfNotNull(Write.Put(Keys.end(id), record.encode()), Write.Drop(Keys.job(id)), open.hold?.let { Write.Drop(Keys.hold(id)) }),
+                listOfNotNull(Write.Put(Keys.end(id), record.encode()), Write.Drop(Keys.job(id)), open.holdKey?.let { Write.Drop(Keys.hold(id)) }),
                 Purpose.RECORD,
             )
             when (outcome) {
@@ -206,7 +206,7 @@
             if (shown !is Answer.State) return shown
             val open = lookup(id) as? Known.Open
             val hold = open?.hold?.takeIf(may) ?: return Answer.Unknown
-            val outcome = client.commit(listOf(Condition(Keys.hold(id), hold.version)), listOf(Write.Drop(Keys.hold(id))), Purpose.RECORD)
+            val outcome = client.commit(listOf(Condition(Keys.hold(id), hold.version)), listOf(Write.Put(Keys.hold(id), Hold.of(HoldKind.RELEASED, hold.reason).encode())), Purpose.RECORD)
             when (outcome) {
                 is CommitOutcome.Committed -> return Answer.State(id, open.standing)
                 is CommitOutcome.Conflict, CommitOutcome.Unknown -> if (!feed.sync()) return Answer.NotNow("the state service doesn't answer")
--- a/src/main/kotlin/org/elderhitch/jobs/Recorder.kt
+++ b/src/main/kotlin/org/elderhitch/jobs/Recorder.kt
@@ -5,6 +5,7 @@
 import org.elderhitch.store.Condition
 import org.elderhitch.store.Keys
 import org.elderhitch.store.Purpose
+import org.elderhitch.store.ReadOutcome
 import org.elderhitch.store.Revision
 import org.elderhitch.store.StateClient
 import org.elderhitch.store.Write
@@ -83,15 +84,17 @@
         }
     }
 
-    /** Keeps a job from being started. Whoever has begun another term meanwhile may have started it: then nothing is written. */
-    public suspend fun hold(leading: Tenure.Leading, job: JobId, version: Revision, hold: Hold): CommitOutcome {
-        val conditions = listOf(Condition(Keys.TERM, leading.counter), Condition(Keys.job(job), version), Condition(Keys.hold(job), Revision.ABSENT))
+    /** Keeps a job from being started; [before]: the version of its hold's key. Whoever has begun another term meanwhile may have started it: then nothing is written. */
+    public suspend fun hold(leading: Tenure.Leading, job: JobId, version: Revision, before: Revision, hold: Hold): CommitOutcome {
+        val conditions = listOf(Condition(Keys.TERM, leading.counter), Condition(Keys.job(job), version), Condition(Keys.hold(job), before))
         var outcome: CommitOutcome = CommitOutcome.Unknown
         repeat(HOLD_TRIES) {
             outcome = client.commit(conditions, listOf(Write.Put(Keys.hold(job), hold.encode())), Purpose.RECORD)
-            val mine = (outcome as? CommitOutcome.Conflict)?.failed == setOf(Keys.hold(job))
-            // Nobody else holds jobs in this term: a hold that is there is the one that an earlier try left.
-            if (mine) return CommitOutcome.Committed(Revision.ABSENT)
+            if ((outcome as? CommitOutcome.Conflict)?.failed == setOf(Keys.hold(job))) {
+                // Nobody else holds jobs in this term: a hold that is there is the one that an earlier try left.
+                val there = client.read(Keys.hold(job), Purpose.RECORD) as? ReadOutcome.Found ?: return CommitOutcome.Unknown
+                return if (Hold.decode(there.entry.value, there.entry.version)?.effective != null) CommitOutcome.Committed(there.entry.version) else outcome
+            }
             if (outcome != CommitOutcome.Unknown) return outcome
         }
         return outcome
--- a/src/main/kotlin/org/elderhitch/json/Json.kt
+++ b/src/main/kotlin/org/elderhitch/json/Json.kt
@@ -111,6 +111,8 @@
 
     public fun raw(name: String): Any? = fields[name]
 
+    public val names: Collection<String> get() = fields.keys.map { it.toString() }
+
     public fun stringOrNull(name: String): String? = when (val value = fields[name]) {
         null -> null
         is String -> value
--- /dev/null
+++ b/src/main/kotlin/org/elderhitch/lab/VirtualTime.kt
@@ -0,0 +1,70 @@
+package org.elderhitch.lab
+
+import kotlinx.coroutines.CancellableContinuation
+import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.CoroutineExceptionHandler
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Delay
+import kotlinx.coroutines.DisposableHandle
+import kotlinx.coroutines.InternalCoroutinesApi
+import kotlinx.coroutines.Runnable
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.async
+import org.elderhitch.time.Moment
+import org.elderhitch.time.SteadyClock
+import java.util.PriorityQueue
+import kotlin.coroutines.CoroutineContext
+
+/** Runs coroutines in the order of their simulated times, on one thread, without waiting. The same seed gives the same run. */
+@OptIn(InternalCoroutinesApi::class, kotlinx.coroutines.ExperimentalCoroutinesApi::class)
+internal class VirtualTime : CoroutineDispatcher(), Delay {
+    private class Due(val atMs: Long, val order: Long, val run: Runnable) {
+        var cancelled = false
+    }
+
+    private val queue = PriorityQueue<Due>(compareBy<Due> { it.atMs }.thenBy { it.order })
+    private var order = 0L
+    private var failure: Throwable? = null
+    var nowMs = 0L
+        private set
+    val clock = SteadyClock { Moment(nowMs * NANOS_PER_MS) }
+
+    private fun add(afterMs: Long, run: Runnable): Due = Due(nowMs + afterMs.coerceAtLeast(0), order++, run).also(queue::add)
+
+    override fun dispatch(context: CoroutineContext, block: Runnable) {
+        add(0, block)
+    }
+
+    override fun scheduleResumeAfterDelay(timeMillis: Long, continuation: CancellableContinuation<Unit>) {
+        if (timeMillis >= NEVER) return
+        val due = add(timeMillis) { with(continuation) { resumeUndispatched(Unit) } }
+        continuation.invokeOnCancellation { due.cancelled = true }
+    }
+
+    override fun invokeOnTimeout(timeMillis: Long, block: Runnable, context: CoroutineContext): DisposableHandle {
+        if (timeMillis >= NEVER) return DisposableHandle { }
+        val due = add(timeMillis, block)
+        return DisposableHandle { due.cancelled = true }
+    }
+
+    /** Runs [body] to its end, and whatever else is launched in the scope for as long. Throws what a coroutine threw. */
+    fun <T> run(body: suspend CoroutineScope.() -> T): T {
+        val scope = CoroutineScope(SupervisorJob() + this + CoroutineExceptionHandler { _, e -> failure = failure ?: e })
+        val result = scope.async { body(scope) }
+        while (!result.isCompleted) {
+            val due = queue.poll() ?: throw IllegalStateException("everything waits, and nothing is due")
+            if (due.cancelled) continue
+            nowMs = maxOf(nowMs, due.atMs)
+            due.run.run()
+            failure?.let { throw it }
+        }
+        scope.cancel()
+        return result.getCompletionExceptionOrNull()?.let { throw it } ?: result.getCompleted()
+    }
+
+    private companion object {
+        const val NANOS_PER_MS = 1_000_000L
+        const val NEVER = Long.MAX_VALUE / 4
+    }
+}
--- a/src/main/kotlin/org/elderhitch/lab/World.kt
+++ b/src/main/kotlin/org/elderhitch/lab/World.kt
@@ -67,7 +67,7 @@
 
 /** Three controllers against the stand-ins, over a network that can be cut, in virtual time. */
 @OptIn(ExperimentalCoroutinesApi::class)
-internal class World(private val outside: CoroutineScope, val clock: SteadyClock, private val made: WorldSettings = WorldSettings()) : TaskWatch {
+internal class World(val outside: CoroutineScope, val clock: SteadyClock, private val made: WorldSettings = WorldSettings()) : TaskWatch {
     private val random = Random(made.seed)
     val wall = WallClock { WallTime(WALL_START + clock.now().nanos / NANOS_PER_MS) }
     private val handlers = HashMap<String, Handler>()
@@ -232,6 +232,9 @@
         return BUSY to emptyMap()
     }
 
+    suspend fun post(node: String, path: String, body: ByteArray, timeout: Duration): Response? =
+        net("user").call(Address("$node:80"), "POST", path, body, timeout)
+
     suspend fun submit(id: String, kind: String, tasks: Int, runs: Double, extra: Map<String, Any?> = emptyMap()) {
         val body = Rehearsal.exampleJob(id, kind) + mapOf("crates" to tasks, "haulS" to runs) + extra
         val (status, answer) = ask("POST", "/work", body)
--- a/src/main/kotlin/org/elderhitch/store/Keys.kt
+++ b/src/main/kotlin/org/elderhitch/store/Keys.kt
@@ -25,6 +25,9 @@
 
     public fun finished(id: JobId, block: Int): String = "$FINISHED${id.text}/$block"
 
+    /** Where the finished blocks stand of jobs whose ids begin so. */
+    public fun finishedOf(beginning: String): String = FINISHED + beginning
+
     public fun hold(id: JobId): String = HOLD + id.text
 
     public fun hire(name: String): String = HIRE + name
--- a/src/main/kotlin/org/elderhitch/workers/Foreman.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Foreman.kt
@@ -129,8 +129,8 @@
 
     public fun running(counts: Map<JobId, Int>)
 
-    /** Records a hold; what becomes of it comes back as [ForemanMessage.HoldWritten]. */
-    public fun hold(tenure: Tenure.Leading, job: JobId, version: Revision, hold: Hold)
+    /** Records a hold over what stands under its key at version [before]; what becomes of it comes back as [ForemanMessage.HoldWritten]. */
+    public fun hold(tenure: Tenure.Leading, job: JobId, version: Revision, before: Revision, hold: Hold)
 
     public fun forgetHold(tenure: Tenure.Leading, job: JobId)
 }
@@ -295,10 +295,10 @@
                     ports.forget(leading, job.id, blocks)
                 }
                 holds.ended(job.id)
-                if (leading != null && job.hold != null) ports.forgetHold(leading, job.id)
+                if (leading != null && job.holdKey != null) ports.forgetHold(leading, job.id)
                 table.end(job)
             }
-            is JobEvent.Held -> holds.heard(leading(), event.id, event.hold)
+            is JobEvent.Held -> holds.heard(leading(), event.id, event.key)
         }
     }
 
@@ -509,7 +509,7 @@
         // Parts of jobs wait for each other: each rewrites whole blocks, and the end of a job waits for none of that.
         val parts = now - lastParts > PARTS_EVERY
         val batches = table.jobs.values.filter { !it.ended && it.done.count > it.finished.count && (parts || it.done.all) }.take(MAX_BATCHES)
-            .map { FinishedBatch(it.id, it.version, it.done, it.done.beyond(it.finished), if (it.done.all) account(leading, it) else null, it.hold != null) }
+            .map { FinishedBatch(it.id, it.version, it.done, it.done.beyond(it.finished), if (it.done.all) account(leading, it) else null, it.holdKey != null) }
         if (batches.isEmpty()) return
         recording = true
         if (parts) lastParts = now
--- a/src/main/kotlin/org/elderhitch/workers/Holds.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Holds.kt
@@ -7,7 +7,7 @@
 import org.elderhitch.jobs.JobId
 import org.elderhitch.jobs.JobSpec
 import org.elderhitch.leadership.Tenure
-import org.elderhitch.leadership.Term
+import org.elderhitch.store.Revision
 import org.slf4j.LoggerFactory
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -64,7 +64,7 @@
 
     private fun begin(leading: Tenure.Leading, job: JobState, hold: Hold) {
         job.holding = true
-        ports.hold(leading, job.id, job.version, hold)
+        ports.hold(leading, job.id, job.version, job.holdKey?.version ?: Revision.ABSENT, hold)
     }
 
     fun written(id: JobId, outcome: HoldWrite) {
@@ -82,16 +82,17 @@
         )
     }
 
-    /** The state service's word on a job's hold; null: released. */
-    fun heard(leading: Tenure.Leading?, id: JobId, hold: Hold?) {
+    /** The state service's word on a job's hold; null: there is none. */
+    fun heard(leading: Tenure.Leading?, id: JobId, key: Hold?) {
+        val hold = key?.effective
         if (hold?.kind == HoldKind.SUSPENDED) suspended.add(id) else suspended.remove(id)
         val job = table.jobs[id]
         if (job == null) {
-            if (hold != null && leading != null) ports.forgetHold(leading, id)
+            if (key != null && leading != null) ports.forgetHold(leading, id)
             return
         }
         if (hold == null) job.tally.forgive()
-        job.hold = hold
+        job.holdKey = key
         job.holding = false
         table.dirty = true
     }
--- a/src/main/kotlin/org/elderhitch/workers/WorkerState.kt
+++ b/src/main/kotlin/org/elderhitch/workers/WorkerState.kt
@@ -167,8 +167,11 @@
     var notBefore: Moment = Moment.NEVER
     var tally = Tally()
 
+    /** What stands under the key of its hold. */
+    var holdKey: Hold? = null
+
     /** Recorded: nothing of it is started. */
-    var hold: Hold? = null
+    val hold: Hold? get() = holdKey?.effective
 
     /** A hold is being recorded, or may be: nothing of it is started either. */
     var holding = false
--- /dev/null
+++ b/src/main/kotlin/org/ggf/drmaa/Exceptions.kt
@@ -0,0 +1,83 @@
+// The exceptions of the DRMAA 1.0 Java binding as the Open Grid Forum published it; written from the specification.
+package org.ggf.drmaa
+
+/** What every DRMAA operation may throw. */
+public abstract class DrmaaException @JvmOverloads constructor(message: String? = null) : Exception(message)
+
+/** The session is not in the state that the operation needs. */
+public abstract class SessionException @JvmOverloads constructor(message: String? = null) : DrmaaException(message)
+
+/** The job is not in the state that the action needs. */
+public abstract class InconsistentStateException @JvmOverloads constructor(message: String? = null) : DrmaaException(message)
+
+/** An attribute of a job template can't be what it was set to. */
+public abstract class InvalidAttributeException @JvmOverloads constructor(message: String? = null) : DrmaaException(message)
+
+/** Another session is active in this [Session]. */
+public class AlreadyActiveSessionException @JvmOverloads constructor(message: String? = null) : SessionException(message)
+
+/** The user may not do this. */
+public class AuthorizationException @JvmOverloads constructor(message: String? = null) : DrmaaException(message)
+
+/** Two attributes contradict each other. */
+public class ConflictingAttributeValuesException @JvmOverloads constructor(message: String? = null) : InvalidAttributeException(message)
+
+/** The default contact string can't be used. */
+public class DefaultContactStringException @JvmOverloads constructor(message: String? = null) : SessionException(message)
+
+/** The scheduler's rules or limits don't allow it, now or ever. */
+public class DeniedByDrmException @JvmOverloads constructor(message: String? = null) : DrmaaException(message)
+
+/** The scheduler can't be reached, or doesn't answer. */
+public class DrmCommunicationException @JvmOverloads constructor(message: String? = null) : DrmaaException(message)
+
+/** The session could not be left in order. */
+public class DrmsExitException @JvmOverloads constructor(message: String? = null) : SessionException(message)
+
+/** The session could not be entered. */
+public class DrmsInitException @JvmOverloads constructor(message: String? = null) : SessionException(message)
+
+/** What was waited for did not come within the time given. */
+public class ExitTimeoutException @JvmOverloads constructor(message: String? = null) : DrmaaException(message)
+
+/** The job can't be held in its present state. */
+public class HoldInconsistentStateException @JvmOverloads constructor(message: String? = null) : InconsistentStateException(message)
+
+/** Something went wrong that no other exception names. */
+public class InternalException @JvmOverloads constructor(message: String? = null) : DrmaaException(message)
+
+/** The text of an attribute has not the form that it needs. */
+public class InvalidAttributeFormatException @JvmOverloads constructor(message: String? = null) : InvalidAttributeException(message)
+
+/** The value of an attribute is out of its range. */
+public class InvalidAttributeValueException @JvmOverloads constructor(message: String? = null) : InvalidAttributeException(message)
+
+/** The contact string is none. */
+public class InvalidContactStringException @JvmOverloads constructor(message: String? = null) : SessionException(message)
+
+/** No such job in this session, or its result is gone. */
+public class InvalidJobException @JvmOverloads constructor(message: String? = null) : DrmaaException(message)
+
+/** The template was deleted, is of another session, or lacks what every job needs. */
+public class InvalidJobTemplateException @JvmOverloads constructor(message: String? = null) : DrmaaException(message)
+
+/** [Session.init] was not called, or the session is over. */
+public class NoActiveSessionException @JvmOverloads constructor(message: String? = null) : SessionException(message)
+
+/** No contact string was given, and there is no default. */
+public class NoDefaultContactStringException @JvmOverloads constructor(message: String? = null) : SessionException(message)
+
+/** The job can't be released in its present state. */
+public class ReleaseInconsistentStateException @JvmOverloads constructor(message: String? = null) : InconsistentStateException(message)
+
+/** The job can't be resumed in its present state. */
+public class ResumeInconsistentStateException @JvmOverloads constructor(message: String? = null) : InconsistentStateException(message)
+
+/** The job can't be suspended in its present state. */
+public class SuspendInconsistentStateException @JvmOverloads constructor(message: String? = null) : InconsistentStateException(message)
+
+/** The scheduler can't take it now; later it may. */
+public class TryLaterException @JvmOverloads constructor(message: String? = null) : DrmaaException(message)
+
+/** An optional attribute that this implementation doesn't have. */
+public class UnsupportedAttributeException @JvmOverloads constructor(message: String? = null) : InvalidAttributeException(message)
