--- a/src/main/kotlin/org/elderhitch/app/Commands.kt
+++ b/src/main/kotlin/org/elderhitch/app/Commands.kt
@@ -112,9 +112,16 @@
 internal class StandIns : CoreCliktCommand(name = "stand-ins") {
     private val config by option("--config", help = "a controller's settings file, whose addresses they take").required()
 
+    private val nodes by option("--nodes", help = "NAME=ADDRESS of each controller that workers report to, between commas; without it, the one of the settings")
+
     override fun help(context: Context): String = "Run a state service, a cloud and workers of our own, to try a controller out"
 
-    override fun run(): Unit = Rehearsal.standIns(config)
+    override fun run(): Unit = Rehearsal.standIns(
+        config,
+        nodes?.split(',')?.associate {
+            it.substringBefore('=') to (Address.parse(it.substringAfter('=')) ?: throw CliktError("--nodes: \"$it\" is not of the form node-0=127.0.0.1:8080", statusCode = 2))
+        },
+    )
 }
 
 internal class Rehearse : CoreCliktCommand(name = "rehearse") {
--- a/src/main/kotlin/org/elderhitch/app/Rehearsal.kt
+++ b/src/main/kotlin/org/elderhitch/app/Rehearsal.kt
@@ -41,18 +41,18 @@
         override fun ended(task: String, machine: String) = log.info("task ended task={} machine={}", task, machine)
     }
 
-    fun standIns(config: String) {
+    fun standIns(config: String, nodes: Map<String, Address>?) {
         val settings = Daemon.settings(config)
         val loop = Daemon.loop()
         val scope = Daemon.scope(loop)
         val group = channelGroup(loop)
-        start(settings, scope, HttpClient(group, SystemSteadyClock), HttpServer(group, scope, SystemSteadyClock, SOCKETS))
+        start(settings, scope, HttpClient(group, SystemSteadyClock), HttpServer(group, scope, SystemSteadyClock, SOCKETS), nodes)
         log.info("stand-ins up state={} cloud={}", settings.state, settings.cloud)
     }
 
-    private fun start(settings: Settings, scope: CoroutineScope, client: HttpClient, server: HttpServer): StandInPlatform {
-        // The settings name the other controllers' cluster addresses only: workers of the stand-ins know one node.
-        val nodes = mapOf(settings.node.text to settings.clientListen)
+    private fun start(settings: Settings, scope: CoroutineScope, client: HttpClient, server: HttpServer, known: Map<String, Address>? = null): StandInPlatform {
+        // The settings name the other controllers' cluster addresses only.
+        val nodes = known ?: mapOf(settings.node.text to settings.clientListen)
         val platform = StandInPlatform(
             scope, SystemSteadyClock, { client }, nodes, settings.workers, Random.Default,
             settings.zones.map { it.name }, MACHINES_PER_ZONE, CloudStandIn.QUICK_BOOT, Silent,
--- a/src/main/kotlin/org/elderhitch/lab/World.kt
+++ b/src/main/kotlin/org/elderhitch/lab/World.kt
@@ -98,6 +98,9 @@
     val startsOf = HashMap<String, Int>()
     val broken = ArrayList<String>()
 
+    /** The most tasks that were on machines at a time. */
+    var mostAtOnce = 0
+
     init {
         val nodes = names.associateWith { Address("$it:80") }
         platform = StandInPlatform(
@@ -113,6 +116,7 @@
     override fun started(task: String, machine: String) {
         onMachine[task]?.let { broken.add("$task started on $machine while on $it") }
         onMachine[task] = machine
+        mostAtOnce = maxOf(mostAtOnce, onMachine.size)
         startsOf.merge(task, 1, Int::plus)
     }
 
--- a/src/main/kotlin/org/elderhitch/workers/Reconciler.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Reconciler.kt
@@ -21,9 +21,14 @@
             worker.changed()
         }
         val seen = HashSet<TaskId>()
+        worker.strangers = emptyList()
         for (task in report.tasks) {
             seen.add(task.task)
-            val job = table.jobs[task.task.job] ?: continue
+            val job = table.jobs[task.task.job]
+            if (job == null) {
+                if (task.phase != TaskPhase.EXITED) worker.strangers += task.task.job
+                continue
+            }
             if (task.task.index < job.spec.tasks) reconcile(worker, job, task)
         }
         for (p in worker.placements.values.toList()) {
--- a/src/main/kotlin/org/elderhitch/workers/RoundFeed.kt
+++ b/src/main/kotlin/org/elderhitch/workers/RoundFeed.kt
@@ -44,10 +44,11 @@
             viewedWith = catalog
             table.workers.values.forEach { it.changed() }
         }
-        val quota = QuotaLedger(teams, reserved)
+        val quota = QuotaLedger(teams, reserved + unknown(catalog))
         for (job in table.jobs.values) {
             if (job.placements.isNotEmpty()) quota.add(job.spec.team, job.spec.need * job.placements.size)
         }
+        for (worker in table.workers.values) for (job in worker.strangers) table.departed(job)?.let { quota.add(it.team, it.need) }
         val views = table.jobs.values.mapNotNull { jobView(it, leading, mayHide, now) }
         val machines = ArrayList<MachineView>()
         for (worker in table.workers.values) {
@@ -59,6 +60,15 @@
         return RoundInput(machines, views, quota, keptFree, wholeMachines = table.jobs.values.any { it.isGang }, rush = rush, now = now, besideGpu = besideGpu())
     }
 
+    /** Tasks whose job nobody here remembers may be any team's, and take as much as their machine has. */
+    private fun unknown(catalog: Catalog): Resources {
+        var sum = Resources.NONE
+        for (worker in table.workers.values) {
+            if (worker.strangers.any { table.departed(it) == null }) sum += catalog.resources(worker.type) ?: Resources.NONE
+        }
+        return sum
+    }
+
     private fun besideGpu(): Resources {
         var cpus = 0.0
         var memoryGb = 0.0
--- a/src/main/kotlin/org/elderhitch/workers/TaskTable.kt
+++ b/src/main/kotlin/org/elderhitch/workers/TaskTable.kt
@@ -1,10 +1,12 @@
 package org.elderhitch.workers
 
 import org.elderhitch.jobs.JobId
+import org.elderhitch.jobs.JobSpec
 import org.elderhitch.jobs.TaskId
 import org.elderhitch.time.Moment
 import org.elderhitch.time.SteadyClock
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** The leader's table: the open jobs, the workers that report, and which task is where. */
 internal class TaskTable(private val clock: SteadyClock) {
@@ -14,6 +16,12 @@
     val jobs = LinkedHashMap<JobId, JobState>()
     val workers = HashMap<MachineId, WorkerState>()
 
+    /**
+     * What the tasks of jobs took that ended lately, and when: in every role, since a new leader may find some that nobody has told to
+     * stop. Without it they counted for nothing, and their team used more than its limit.
+     */
+    private val departed = LinkedHashMap<JobId, Pair<JobSpec, Moment>>()
+
     /** Workers with a start or a stop that they have not been sent. */
     val undelivered = LinkedHashSet<WorkerState>()
 
@@ -30,7 +38,7 @@
             job.done.addAll(job.finished)
             job.gang.reset()
         }
-        jobs.values.removeAll { it.ended }
+        jobs.values.filter { it.ended }.forEach(::depart)
         dirty = true
     }
 
@@ -61,14 +69,25 @@
         placement.worker.changed()
         if (placement.worker.placements.isEmpty()) placement.worker.idleSince = clock.now()
         if (job.isGang) job.gang.lost(membersLeft = job.placements.isNotEmpty())
-        if (job.ended && job.placements.isEmpty()) jobs.remove(job.id)
+        if (job.ended && job.placements.isEmpty()) depart(job)
         dirty = true
     }
 
+    private fun depart(job: JobState) {
+        jobs.remove(job.id)
+        val now = clock.now()
+        departed[job.id] = job.spec to now
+        val ended = departed.values.iterator()
+        while (ended.hasNext() && now - ended.next().second > DEPARTED_KEPT) ended.remove()
+    }
+
+    /** What a task takes of a job that ended lately; null: it is not known. */
+    fun departed(id: JobId): JobSpec? = departed[id]?.first
+
     fun end(job: JobState) {
         job.ended = true
         for (p in job.placements.values.toList()) stop(job, p, Duration.ZERO)
-        if (job.placements.isEmpty()) jobs.remove(job.id)
+        if (job.placements.isEmpty()) depart(job)
     }
 
     fun loseAll(worker: WorkerState) {
@@ -79,4 +98,9 @@
         worker.changed()
         worker.tasks = emptyList()
     }
+
+    private companion object {
+        /** Longer than tasks of a cancelled job may be anywhere (`cancel_s`). One that is found later counts as a whole machine. */
+        val DEPARTED_KEPT = 120.seconds
+    }
 }
--- a/src/main/kotlin/org/elderhitch/workers/WorkerState.kt
+++ b/src/main/kotlin/org/elderhitch/workers/WorkerState.kt
@@ -82,6 +82,9 @@
     var notice: Duration? = null
     var tasks: List<TaskReport> = emptyList()
     val placements: HashMap<TaskId, Placement> = HashMap()
+
+    /** Of each task here whose job is not open any more: that job. They are told to stop, and use room until they have. */
+    var strangers: List<JobId> = emptyList()
     var idleSince: Moment = since
 
     /** Errors here by job. */
--- a/src/test/kotlin/org/elderhitch/app/ControllersTest.kt
+++ b/src/test/kotlin/org/elderhitch/app/ControllersTest.kt
@@ -498,4 +498,40 @@
         val told = ask("GET", "/work/req-1").second["done"] as Long
         assertTrue(told >= most, "$most tasks were done, and then $told")
     }
+
+    /**
+     * Seen in `lab drmaa --seed 7`: jobs that were withdrawn while the leader was cut off were unknown to the next one, so their tasks counted for
+     * nothing until they had been told to stop, and their team used 41 of its 40 accelerators.
+     */
+    @Test
+    fun `tasks of jobs that ended before a takeover count for their team until they are gone`() = world(WorldSettings(mostGpus = 9.0, reportS = 3.0)) {
+        suspend fun service(id: String, tasks: Int, node: String? = null) =
+            assertEquals(201, ask("POST", "/work", Rehearsal.exampleJob(id, "daemon") + mapOf("crates" to tasks, "cores" to 1.0), node).first)
+        // Eight fill one machine, the ninth keeps another.
+        service("req-1", 8)
+        until("eight run", 60.seconds) { onMachine.size == 8 }
+        service("req-9", 1)
+        until("all run", 60.seconds) { onMachine.size == 9 }
+        delay(5.seconds)
+        val leader = assertNotNull(leader())
+        (names - leader + listOf("state", "cloud", "workers", "user")).forEach { cuts.add(leader to it) }
+        val other = names.first { it != leader }
+        assertEquals(200, ask("POST", "/work/req-1/withdraw", node = other).first)
+        service("req-2", 7, other)
+        until("the second runs", 120.seconds) { onMachine.keys.count { it.startsWith("req-2/") } == 7 }
+        assertEquals(9, mostAtOnce)
+        // Nodes that start after a job has ended don't know what it takes.
+        cuts.clear()
+        delay(5.seconds)
+        val now = assertNotNull(leader())
+        (names - now + listOf("state", "cloud", "workers", "user")).forEach { cuts.add(now to it) }
+        val third = names.first { it != now }
+        assertEquals(200, ask("POST", "/work/req-2/withdraw", node = third).first)
+        service("req-3", 7, third)
+        names.forEach(::crash)
+        cuts.clear()
+        names.forEach(::startNode)
+        until("the third runs", 120.seconds) { onMachine.keys.count { it.startsWith("req-3/") } == 7 }
+        assertEquals(9, mostAtOnce)
+    }
 }
