A session that was told of has a lease of its own; reports win over the table

A worker that came back after its lease was heard by asking; its new session was judged by the last answer to the session before, so that what the round gave it was declared lost at the next tick and started elsewhere.

Change: LeaseBelief, one pure state machine a worker, is the only place that concludes anything about leases (with LeaseTimes, which takeovers ask too); reports of sessions that are over are dropped as late; nothing is started in a session of which no report was answered. Where a report and the table disagree about a task, both copies stay in the table and use room, quota and zone, one is stopped, and the task is started nowhere before both are settled (Duplicates). Lines of mass events are bounded (EventLog). The stand-in workers wake when something is due instead of ten times a second, hang, fetch, have limited room, and end leases to the millisecond.

--- a/src/main/kotlin/org/elderhitch/app/Controller.kt
+++ b/src/main/kotlin/org/elderhitch/app/Controller.kt
@@ -29,6 +29,7 @@
 import org.elderhitch.jobs.JobEvent
 import org.elderhitch.jobs.JobId
 import org.elderhitch.jobs.JobMessage
+import org.elderhitch.jobs.TaskId
 import org.elderhitch.jobs.Recorder
 import org.elderhitch.leadership.Incarnation
 import org.elderhitch.leadership.Leadership
@@ -45,6 +46,7 @@
 import org.elderhitch.time.WallClock
 import org.elderhitch.workers.Foreman
 import org.elderhitch.workers.ForemanMessage
+import org.elderhitch.workers.MachineId
 import org.elderhitch.workers.WorkerLine
 
 /** One controller: its slices, and who tells whom what. Clocks, random numbers and network come from outside. */
@@ -119,6 +121,9 @@
         meters.gauge("term") { (leadership.tenure.value as? Tenure.Leading)?.term?.number ?: 0 }
     }
 
+    /** Where the leader believes each task to be; null: this node doesn't lead. */
+    internal suspend fun survey(): Map<TaskId, MachineId>? = leaderDesk.survey()
+
     private fun featureSet(): FeatureSet = features
 
     private fun share(whole: Double, part: Double): Double =
--- a/src/main/kotlin/org/elderhitch/app/LeaderDesk.kt
+++ b/src/main/kotlin/org/elderhitch/app/LeaderDesk.kt
@@ -8,6 +8,7 @@
 import org.elderhitch.jobs.Account
 import org.elderhitch.jobs.HoldKind
 import org.elderhitch.jobs.JobId
+import org.elderhitch.jobs.TaskId
 import org.elderhitch.json.Json
 import org.elderhitch.json.JsonObject
 import org.elderhitch.json.MalformedJson
@@ -16,6 +17,7 @@
 import org.elderhitch.workers.Foreman
 import org.elderhitch.workers.ForemanMessage
 import org.elderhitch.workers.HoldAnswer
+import org.elderhitch.workers.MachineId
 import org.slf4j.LoggerFactory
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -55,6 +57,9 @@
         }
     }
 
+    /** Null: this node doesn't lead. */
+    public suspend fun survey(): Map<TaskId, MachineId>? = here { ForemanMessage.Survey(it) }
+
     /** From another node. 503 unless this one leads. */
     public suspend fun handle(request: Request): Response {
         if (!leads()) return HttpServer.refusal(BUSY, "not the leader")
--- a/src/main/kotlin/org/elderhitch/lab/World.kt
+++ b/src/main/kotlin/org/elderhitch/lab/World.kt
@@ -29,6 +29,7 @@
 import org.elderhitch.http.Response
 import org.elderhitch.http.Transport
 import org.elderhitch.jobs.Footprint
+import org.elderhitch.jobs.TaskId
 import org.elderhitch.json.Json
 import org.elderhitch.settings.Settings
 import org.elderhitch.standin.StandInPlatform
@@ -37,6 +38,7 @@
 import org.elderhitch.time.SteadyClock
 import org.elderhitch.time.WallClock
 import org.elderhitch.time.WallTime
+import org.elderhitch.workers.MachineId
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -98,6 +100,9 @@
     val startsOf = HashMap<String, Int>()
     val broken = ArrayList<String>()
 
+    /** When machines last had no room for what they were to start. */
+    val refusedAt = HashMap<String, Moment>()
+
     /** The most tasks that were on machines at a time. */
     var mostAtOnce = 0
 
@@ -124,6 +129,10 @@
         if (onMachine[task] == machine) onMachine.remove(task)
     }
 
+    override fun refused(task: String, machine: String) {
+        refusedAt[machine] = clock.now()
+    }
+
     override fun fails(task: String, machine: String): Boolean = failing(task, machine)
 
     fun startNode(name: String) {
@@ -160,6 +169,9 @@
         name in controllers && platform.state.value("v/a/leader")?.string("node") == name
     }
 
+    /** Where the leader believes each task to be; null: nobody leads. */
+    suspend fun survey(): Map<TaskId, MachineId>? = leader()?.let { controllers[it]?.survey() }
+
     private fun net(from: String, machine: String? = null) = object : Transport {
         override suspend fun deliver(to: Address, method: String, target: String, body: ByteArray?, connect: Duration, timeout: Duration): Delivery {
             val message = org.elderhitch.http.Message("$method $target HTTP/1.1", emptyMap(), body ?: ByteArray(0), true)
--- a/src/main/kotlin/org/elderhitch/standin/StandInPlatform.kt
+++ b/src/main/kotlin/org/elderhitch/standin/StandInPlatform.kt
@@ -31,10 +31,13 @@
     private val watch: TaskWatch,
     /** Where a machine's worker takes commands; empty: nowhere. */
     private val addressOf: (StandInMachine) -> String = { "" },
+    /** How fast machines fetch images, in GB a second; null: at once. */
+    private val fetchRate: Double? = null,
 ) {
     public val state: StateStandIn = StateStandIn(clock)
     public val cloud: CloudStandIn = CloudStandIn(clock, zones, perZone, boot, ::boot, ::gone)
     private val workers = HashMap<String, Pair<WorkerStandIn, Job>>()
+    private val byAddress = HashMap<String, WorkerStandIn>()
     private val scripts = HashMap<String, TaskScript>()
 
     public fun start() {
@@ -49,17 +52,22 @@
     private fun boot(machine: StandInMachine) {
         machine.address = addressOf(machine)
         val worker = WorkerStandIn(machine, nodes, transportOf(machine), times, clock, random, ::script, watch)
+        byAddress[machine.address] = worker
         workers[machine.id] = worker to scope.launch { worker.run() }
     }
 
     private fun gone(machine: StandInMachine) {
         val (worker, job) = workers.remove(machine.id) ?: return
+        byAddress.remove(machine.address)
         worker.end()
         job.cancel()
     }
 
     /** What answers at a worker's own address. */
-    public fun workerAt(address: Address): Handler? = workers.values.firstOrNull { (worker, _) -> worker.address == address.text }?.first
+    public fun workerAt(address: Address): Handler? = byAddress[address.text]
+
+    /** The workers of machines that are up. */
+    public fun workers(): Map<String, WorkerStandIn> = workers.mapValues { it.value.first }
 
     /** The machine stops, with all that is on it, and its worker falls silent. */
     public fun kill(machine: String) {
@@ -74,7 +82,10 @@
         scripts[job]?.let { return it }
         val id = JobId.parse(job) ?: return null
         val record: JsonObject = state.value(Keys.job(id)) ?: return null
-        val script = TaskScript(record.string("lotKind"), record.amount("haulS").seconds, record.long("crates").toInt())
+        val script = TaskScript(
+            record.string("lotKind"), record.amount("haulS").seconds, record.amount("cores"), record.amount("accelerators"),
+            fetchRate?.let { (record.amount("pullGb") / it).seconds } ?: Duration.ZERO,
+        )
         scripts[job] = script
         return script
     }
--- a/src/main/kotlin/org/elderhitch/standin/StateStandIn.kt
+++ b/src/main/kotlin/org/elderhitch/standin/StateStandIn.kt
@@ -153,7 +153,7 @@
             expire()
             val oldest = events.firstOrNull()?.version ?: 0
             if (events.size >= KEPT_EVENTS && after < oldest - 1) return HttpServer.refusal(GONE, "too old")
-            val news = events.filter { it.version > after && it.key.startsWith(prefix) }
+            val news = if (revision > after) events.filter { it.version > after && it.key.startsWith(prefix) } else emptyList()
             if (!down && (news.isNotEmpty() || clock.now() >= until)) {
                 return ok(linkedMapOf("ledgerMark" to revision, "events" to news.map(::encode)))
             }
--- a/src/main/kotlin/org/elderhitch/workers/Explanation.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Explanation.kt
@@ -68,7 +68,7 @@
     private fun limit(job: JobState): String? {
         val team = teams[job.spec.team] ?: return "its team is unknown here"
         var used = Resources.NONE
-        for (other in table.jobs.values) if (other.spec.team == team.name) used += other.spec.need * other.placements.size
+        for (other in table.jobs.values) if (other.spec.team == team.name) used += other.spec.need * other.copies
         val atOnce = job.spec.need * if (job.isGang) job.spec.tasks - job.placements.size else 1
         val gpus = team.mostGpus?.takeIf { used.gpus + atOnce.gpus > it }
         if (gpus != null) return "waits for its team's limit: ${used.gpus} of $gpus GPUs in use, ${atOnce.gpus} needed"
--- a/src/main/kotlin/org/elderhitch/workers/Foreman.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Foreman.kt
@@ -52,19 +52,23 @@
 ) : Actor<ForemanMessage>(scope) {
     private val log = LoggerFactory.getLogger("elderhitch.workers")
     private val table = TaskTable(clock)
-    private val takeover = Takeover(times, workerTimes.lease, clock)
+    private val events = EventLog(clock, log::info, log::error)
+    private val leases = LeaseTimes(workerTimes.lease)
+    private val takeover = Takeover(times, leases, clock)
     private val faults = Faults(table)
-    private val reconciler = Reconciler(table, faults, clock)
+    private val reconciler = Reconciler(table, faults, clock, events)
     private val commands = CommandList(table)
     private val wakefulness = Wakefulness(TICK)
     private val inquiry = Inquiry(table, takeover, workerTimes, wakefulness, ports)
-    private val silence = Silence(table, takeover, workerTimes, TICK, nodeZones, inquiry, wakefulness, ports)
+    private val silence = Silence(table, takeover, workerTimes, leases, TICK, nodeZones, inquiry, wakefulness, events, ports)
     private val consolidation = Consolidation(table)
     private val feed = RoundFeed(table, faults, teams, objectives)
     private val demand = DemandReport(table, silence.suspectAfter)
     private val roster = Roster()
     private val holds = Holds(table, rules, ports)
     private val explanation = Explanation(table, faults, takeover, silence, roster, teams)
+    private val conversation =
+        Conversation(table, takeover, reconciler, commands, silence, inquiry, roster, workerTimes, events, ports, { hinted[it] }, ::checkTakeover)
     private var hinted: Map<MachineId, Map<Image, Double>> = emptyMap()
     private var lastHint = Moment.NEVER
     private var keptFree: List<KeptFree> = emptyList()
@@ -119,14 +123,15 @@
             is ForemanMessage.FormerStopped -> if (message.term == term()) takeover.formerStopped()
             is ForemanMessage.KeepFree -> keptFree = message.kept
             is ForemanMessage.Recorded -> recorded(message)
-            is ForemanMessage.Commanded -> commanded(message)
+            is ForemanMessage.Commanded -> leading()?.takeIf { it.term == message.term }?.let { conversation.commanded(it, message, clock.now()) }
             is ForemanMessage.MachinesListed -> inquiry.listed(message.where)
-            is ForemanMessage.Asked -> asked(message)
+            is ForemanMessage.Asked -> leading()?.takeIf { it.term == message.term }?.let { conversation.asked(it, message.machine, message.outcome, clock.now(), tableComplete) }
             is ForemanMessage.Drain -> drain(message.machine)
             is ForemanMessage.HoldJob -> hold(message)
             is ForemanMessage.HoldWritten -> if (message.term == term()) holds.written(message.id, message.outcome)
             is ForemanMessage.AccountOf -> message.reply.complete(leading()?.let { l -> table.jobs[message.id]?.let { account(l, it) } })
             is ForemanMessage.Explain -> message.reply.complete(leading()?.let { explanation.of(it, message.id, catalog, clock.now(), tableComplete) { w -> usable(w, clock.now()) } })
+            is ForemanMessage.Survey -> message.reply.complete(leading()?.takeIf { tableComplete }?.let { table.whereabouts() })
             ForemanMessage.Tick -> tick()
         }
     }
@@ -209,159 +214,21 @@
     private fun account(leading: Tenure.Leading, job: JobState): Account =
         job.tally.account(job, clock.now(), wall.now(), lowerBound = job.version <= leading.counter)
 
-    // ---- reports -----------------------------------------------------------------------------------------------
+    // ---- workers -----------------------------------------------------------------------------------------------
 
     private fun report(report: Report): ReportAnswer {
         val now = clock.now()
         val leading = leading() ?: return ReportAnswer.Elsewhere((tenure as? Tenure.Following)?.leader)
-        if (report.term > leading.term) {
-            ports.leadership(LeadershipMessage.TermSeen(report.term))
-            return ReportAnswer.Elsewhere(null)
-        }
-        // A message from a machine that is surely gone was held up on its way.
-        if (!leading.mayAnswer(now) || report.machine in roster.gone) return ReportAnswer.Elsewhere(null)
-        val worker = table.workers.getOrPut(report.machine) { worker(report, now) }
-        val order = worker.order
-        // Late reports tell what was: answering one would renew nothing, and believing one would free a task.
-        if (order != null && report.order <= order) {
-            // But one that a command to the worker's own address has overtaken is no late one: it waits for its answer.
-            if (report.order.session < order.session || now - worker.calledAt > WorkerTimes.ANSWER_WAIT) return ReportAnswer.Elsewhere(null)
-            worker.lastAnswer = now
-            return ReportAnswer.Accepted(leading.term, emptyList())
-        }
-        heard(worker, report, now)
-        // It may still execute an earlier leader's command; its list counts once it has seen our term. And without the
-        // jobs its tasks can't be judged: it is kept, and its next report is.
-        if (report.term < leading.term || !tableComplete) {
-            worker.lastAnswer = now
-            return ReportAnswer.Accepted(leading.term, emptyList())
-        }
-        settle(worker, report)
-        // Room that this report brings is given away in its own answer: the next report may be seconds off.
-        if (table.dirty && leading.mayCommand(now) && now > roundAgain) round(leading, now, answering = worker)
-        val commands = if (leading.mayCommand(now)) commands.of(worker, now) else emptyList()
-        worker.lastAnswer = now
-        return ReportAnswer.Accepted(leading.term, commands)
-    }
-
-    private fun worker(report: Report, now: Moment): WorkerState =
-        WorkerState(report.machine, report.type, report.zone, report.spot, now).also { fresh ->
-            hinted[report.machine]?.forEach { (image, gb) -> fresh.usesImage(image, gb) }
-        }
-
-    private fun heard(worker: WorkerState, report: Report, now: Moment) {
-        if (worker.order.let { it != null && it.session < report.order.session }) {
-            // Commands to its own address name the session: those of an earlier one are never executed now.
-            worker.loose.clear()
-            worker.placements.values.forEach { it.onItsWay = false }
-        }
-        worker.order = report.order
-        worker.unreachable = false
-        worker.lastReport = now
-        worker.address = report.address
-        if (report.notice != null && worker.notice == null) {
-            log.info("spot notice machine={} notice_s={}", report.machine, report.notice)
-            table.dirty = true
-        }
-        worker.notice = report.notice
-        silence.heard(worker)
-        inquiry.heard(worker.id)
-        silence.back(worker, now)
-        if (report.machine !in roster.known) ports.fleet(FleetMessage.Stray(report))
-        if (worker.id in roster.known && worker.id !in roster.cleared && now - worker.clearAsked > CLEAR_AGAIN) {
-            worker.clearAsked = now
-            ports.fleet(FleetMessage.CameUp(worker.id))
-        }
-    }
-
-    private fun settle(worker: WorkerState, report: Report, inReply: Boolean = false) {
-        if (!worker.settled) {
-            worker.settled = true
-            takeover.heard(worker.id)
-            log.info("worker settled machine={} by=report tasks={}", worker.id, report.tasks.size)
-            table.dirty = true
-        }
-        reconciler.apply(worker, report, inReply)
-        checkTakeover()
-    }
-
-    // ---- commands to workers' own addresses --------------------------------------------------------------------
-
-    /**
-     * Sends what was decided to workers whose next report is not due soon. In an answer it would be as safe and cheaper,
-     * but a task would wait for half a report's time, and an intent that is older than a round's budget is dropped.
-     */
-    private fun sendUrgent(leading: Tenure.Leading, now: Moment, answering: WorkerState?) {
-        val workers = table.undelivered.iterator()
-        while (workers.hasNext()) {
-            val worker = workers.next()
-            val address = worker.address
-            val session = worker.order?.session
-            if (worker === answering || worker.calling) continue
-            if (address == null || session == null || worker.unreachable || worker.lastReport + workerTimes.report - now < WORTH_CALLING) continue
-            val urgent = commands.urgent(worker, now)
-            if (worker.placements.values.none { it.certainty == Certainty.ASSIGNED }) workers.remove()
-            if (urgent.isEmpty()) continue
-            worker.calling = true
-            ports.command(leading, address, worker.id, session, urgent)
+        return conversation.report(leading, report, now, tableComplete) { worker ->
+            if (table.dirty && leading.mayCommand(now) && now > roundAgain) round(leading, now, answering = worker)
         }
     }
 
-    private fun commanded(message: ForemanMessage.Commanded) {
-        if (message.term != term()) return
-        val now = clock.now()
-        val worker = table.workers[message.machine] ?: return
-        worker.calling = false
-        worker.calledAt = now
-        if (worker.order?.session != message.session) return
-        val outcome = message.outcome
-        if (outcome == CommandOutcome.Unknown) {
-            // Bound to this worker until it shows them, or its session ends; each answer to it repeats them.
-            log.info("start unanswered machine={} starts={}", worker.id, message.starts.size)
-            return
-        }
-        worker.loose.removeAll(message.starts)
-        val placements = message.starts.mapNotNull { (task, attempt) -> worker.placements[task]?.takeIf { it.attempt == attempt } }
-        placements.forEach { it.onItsWay = false }
-        if (outcome is CommandOutcome.Executed) {
-            val report = outcome.report
-            if (report.machine == worker.id && report.term == message.term && worker.order.let { it == null || report.order > it }) {
-                heard(worker, report, now)
-                settle(worker, report, inReply = true)
-            }
-            return
-        }
-        if (outcome == CommandOutcome.Unreachable) worker.unreachable = true
-        // Unless an answer to a report brought the same start: then the next report tells.
-        for (p in placements) if (p.certainty == Certainty.SENT && !p.answered) table.jobs[p.task.job]?.let { table.remove(it, p) }
-    }
-
-    private fun asked(message: ForemanMessage.Asked) {
-        val leading = leading() ?: return
-        if (message.term != leading.term || message.machine in roster.gone) return
-        val said = (message.outcome as? CommandOutcome.Executed)?.report
-        inquiry.took(message.machine, connection = message.outcome != CommandOutcome.Unreachable)
-        // A machine's address may be another's by now.
-        if (said == null || said.machine != message.machine) return
-        if (said.term > leading.term) {
-            ports.leadership(LeadershipMessage.TermSeen(said.term))
-            return
-        }
-        val now = clock.now()
-        val worker = table.workers.getOrPut(said.machine) { worker(said, now) }
-        if (worker.order.let { it != null && said.order <= it }) return
-        worker.calledAt = now
-        heard(worker, said, now)
-        // Until it knew our term, an earlier leader may have renewed its lease; our question doesn't.
-        if (!worker.settled) worker.lastAnswer = now
-        if (said.term == leading.term && tableComplete) settle(worker, said, inReply = true)
-    }
-
     private fun machineGone(id: MachineId, proof: String) {
         roster.lost(id)
         takeover.heard(id)
         table.workers.remove(id)?.let { worker ->
-            log.info("worker settled machine={} by={} tasks={}", id, proof, worker.placements.size)
+            events.info("worker gone", id) { "worker settled machine=$id by=$proof tasks=${worker.placements.size}" }
             table.loseAll(worker)
         }
         table.dirty = true
@@ -373,6 +240,7 @@
     private fun tick() {
         val now = clock.now()
         wakefulness.tick(now)?.let { log.info("woke up after_ms={}", it.inWholeMilliseconds) }
+        events.tick()
         val leading = leading() ?: return
         checkTakeover()
         silence.watch(leading, now, roster.known)
@@ -427,12 +295,12 @@
         for (task in output.stopped) {
             val job = table.jobs[task.job] ?: continue
             val p = job.placements[task.index] ?: continue
-            log.info("task stopped for room task={} machine={}", task, p.worker.id)
+            events.info("task stopped for room", p.worker.id) { "task stopped for room task=$task machine=${p.worker.id}" }
             table.stop(job, p, if (job.spec.saves) job.spec.saveTakes + SAVE_MARGIN else Duration.ZERO)
         }
         // A round that took longer than its budget sends nothing, and neither does a leader whose window has closed.
         val decided = clock.now()
-        if (leading.mayCommand(decided) && decided - now < times.roundBudget) sendUrgent(leading, decided, answering)
+        if (leading.mayCommand(decided) && decided - now < times.roundBudget) conversation.sendUrgent(leading, decided, answering)
         if (now - lastDemand > DEMAND_EVERY) {
             lastDemand = now
             ports.fleet(FleetMessage.Demand(output.unplaced, demand.uses(catalog, now, roster.cleared, usable), demand.services(), takeover.settled, silence.cutZones))
@@ -472,7 +340,7 @@
     }
 
     private fun usable(worker: WorkerState, now: Moment): Boolean =
-        worker.settled && worker.notice == null && !worker.sick && !worker.unreachable && now > worker.doubtedUntil && now > worker.drainedUntil && worker.id in roster.cleared &&
+        worker.settled && worker.lease?.unanswered == false && worker.notice == null && !worker.sick && !worker.unreachable && now > worker.doubtedUntil && now > worker.drainedUntil && worker.id in roster.cleared &&
             now - worker.lastReport <= silence.suspectAfter && worker.releaseAsked == Moment.NEVER
 
     private fun assign(task: TaskId, machine: MachineId, join: Attempt?, now: Moment, held: Duration) {
@@ -501,11 +369,6 @@
         val COUNTS_EVERY = 1.seconds
         val PARTS_EVERY = 1.seconds
         val HINT_EVERY = 10.seconds
-        val CLEAR_AGAIN = 2.seconds
-
-        /** A call costs a connection; a report that is due sooner carries the commands for nothing. */
-        val WORTH_CALLING = 1.seconds
-
         const val ATTEMPTS_PER_TERM_BITS = 24
         const val MAX_BATCHES = 64
         val SAVE_MARGIN = 1.seconds
--- a/src/main/kotlin/org/elderhitch/workers/ForemanMessages.kt
+++ b/src/main/kotlin/org/elderhitch/workers/ForemanMessages.kt
@@ -83,6 +83,9 @@
 
     /** Why a job stands as it does; null as for [AccountOf]. */
     public data class Explain(val id: JobId, val reply: CompletableDeferred<List<String>?>) : ForemanMessage
+
+    /** Which machine each task is on or was sent to, by the leader's table; null: this node doesn't lead, or its table isn't complete. */
+    public data class Survey(val reply: CompletableDeferred<Map<TaskId, MachineId>?>) : ForemanMessage
     public data object Tick : ForemanMessage
 }
 
--- a/src/main/kotlin/org/elderhitch/workers/Reconciler.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Reconciler.kt
@@ -8,7 +8,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** Brings the table in line with what a worker reports, whose list is the truth once it has seen our term. */
-internal class Reconciler(private val table: TaskTable, private val faults: Faults, private val clock: SteadyClock) {
+internal class Reconciler(private val table: TaskTable, private val faults: Faults, private val clock: SteadyClock, private val events: EventLog) {
     private val log = LoggerFactory.getLogger("elderhitch.workers")
 
     /**
@@ -46,15 +46,7 @@
 
     private fun reconcile(worker: WorkerState, job: JobState, task: TaskReport) {
         val index = task.task.index
-        var placement = job.placements[index]
-        if (placement != null && placement.worker !== worker) {
-            if (task.phase != TaskPhase.EXITED) {
-                log.error("task on two machines task={} here={} there={}", task.task, worker.id, placement.worker.id)
-            } else if (task.cause == ExitCause.DONE) {
-                finished(job, index)
-            }
-            return
-        }
+        var placement = worker.placements[task.task]
         if (placement != null && placement.attempt != task.attempt) {
             if (task.phase == TaskPhase.EXITED) {
                 if (task.cause == ExitCause.DONE) finished(job, index)
@@ -63,6 +55,18 @@
             table.remove(job, placement)
             placement = null
         }
+        // What counts now, if anything, is another worker's.
+        val elsewhere = if (placement == null) job.placements[index] else null
+        if (elsewhere != null) {
+            if (task.phase == TaskPhase.EXITED) {
+                if (task.cause == ExitCause.DONE) finished(job, index)
+                return
+            }
+            events.error("task on two machines", worker.id) { "task on two machines task=${task.task} here=${worker.id} there=${elsewhere.worker.id}" }
+            placement = Duplicates.settle(table, worker, job, task, elsewhere)
+            if (job.isGang && job.placements[index] === placement) job.gang.found(task.attempt)
+            table.dirty = true
+        }
         if (task.phase == TaskPhase.EXITED) {
             if (task.cause !in NEVER_BEGAN) placement?.let { seen(job, it) }
             if (task.cause == ExitCause.DONE) finished(job, index) else exited(worker, job, task, placement)
@@ -83,7 +87,7 @@
         placement.phase = task.phase
         if (task.phase == TaskPhase.FETCHING && placement.fetchingSince == null) placement.fetchingSince = clock.now()
         if (task.phase == TaskPhase.RUNNING && placement.runsSince == null) placement.runsSince = clock.now()
-        if (job.isGang) job.gang.seen(task.phase)
+        if (job.isGang && job.placements[index] === placement) job.gang.seen(task.phase)
         if (job.ended && placement.stop == null) table.stop(job, placement, Duration.ZERO)
     }
 
@@ -113,7 +117,7 @@
                 faults.erred(worker, job, task, now)
             }
             ExitCause.NO_ROOM, ExitCause.BUSY, ExitCause.UNKNOWN -> {
-                log.info("start refused task={} machine={} cause={}", task.task, worker.id, task.cause)
+                events.info("start refused ${task.cause}", worker.id) { "start refused task=${task.task} machine=${worker.id} cause=${task.cause}" }
                 worker.shun(job.id, now + REFUSED_PAUSE)
             }
             ExitCause.INCOMPLETE, ExitCause.PEERS -> job.gang.gaveUp()
--- a/src/main/kotlin/org/elderhitch/workers/RoundFeed.kt
+++ b/src/main/kotlin/org/elderhitch/workers/RoundFeed.kt
@@ -46,7 +46,7 @@
         }
         val quota = QuotaLedger(teams, reserved + unknown(catalog))
         for (job in table.jobs.values) {
-            if (job.placements.isNotEmpty()) quota.add(job.spec.team, job.spec.need * job.placements.size)
+            if (job.placements.isNotEmpty()) quota.add(job.spec.team, job.spec.need * job.copies)
         }
         for (worker in table.workers.values) for (job in worker.strangers) table.departed(job)?.let { quota.add(it.team, it.need) }
         val views = table.jobs.values.mapNotNull { jobView(it, leading, mayHide, now) }
--- a/src/main/kotlin/org/elderhitch/workers/Silence.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Silence.kt
@@ -8,7 +8,6 @@
 import org.elderhitch.settings.WorkerTimes
 import org.elderhitch.settings.Zone
 import org.elderhitch.time.Moment
-import org.elderhitch.time.stretched
 import org.slf4j.LoggerFactory
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -23,10 +22,12 @@
     private val table: TaskTable,
     private val takeover: Takeover,
     private val workerTimes: WorkerTimes,
+    private val leases: LeaseTimes,
     private val tick: Duration,
     private val zoneOf: Map<NodeName, Zone>,
     private val inquiry: Inquiry,
     private val wakefulness: Wakefulness,
+    private val events: EventLog,
     private val ports: ForemanPorts,
 ) {
     private class Hearing {
@@ -73,10 +74,8 @@
             val quietFor = now - listeningSince(worker, leading)
             if (quietFor > suspectAfter) hearing.silent++ else hearing.heard++
             if (quietFor > overdueAfter) hearing.overdue++
-            if (worker.settled && worker.placements.isNotEmpty() &&
-                now > worker.lastAnswer + workerTimes.lease.stretched() + Takeover.LEASE_MARGIN
-            ) {
-                log.info("worker settled machine={} by=lease tasks={}", worker.id, worker.placements.size)
+            if (worker.outlived(now, leases) && worker.placements.isNotEmpty()) {
+                events.info("lease over", worker.id) { "worker settled machine=${worker.id} by=lease tasks=${worker.placements.size}" }
                 table.loseAll(worker)
             }
         }
@@ -145,7 +144,7 @@
         }
         for (worker in silent) {
             worker.releaseAsked = now
-            log.info("worker silent machine={} for_ms={}", worker.id, (now - worker.lastReport).inWholeMilliseconds)
+            events.info("worker silent", worker.id) { "worker silent machine=${worker.id} for_ms=${(now - worker.lastReport).inWholeMilliseconds}" }
         }
         if (silent.isNotEmpty()) ports.fleet(FleetMessage.Release(silent.map { it.id }, "silent"))
         val waited = waited(leading, now)
@@ -171,7 +170,7 @@
         }
         if (zone !in cutZones) return releaseAfter
         val keptRunning = leading.former?.let { zoneOf[it.node] } == zone
-        return if (settled || takeover.settled || keptRunning || takeover.endsWithin(workerTimes.lease, now)) CUT_PATIENCE else releaseAfter
+        return if (settled || takeover.settled || keptRunning || takeover.endsSoon(now)) CUT_PATIENCE else releaseAfter
     }
 
     /** It was silent, its release did not go through, and it is back. */
--- a/src/main/kotlin/org/elderhitch/workers/Takeover.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Takeover.kt
@@ -9,16 +9,13 @@
 import org.elderhitch.leadership.Term
 import org.elderhitch.time.Moment
 import org.elderhitch.time.SteadyClock
-import org.elderhitch.time.stretched
 import org.slf4j.LoggerFactory
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * What is still unclear of earlier terms: machines that may run something and have not said what. While any is left,
  * tasks that no report names may be there, and so may the quota that they use.
  */
-internal class Takeover(private val times: TenureTimes, private val lease: Duration, private val clock: SteadyClock) {
+internal class Takeover(private val times: TenureTimes, private val leases: LeaseTimes, private val clock: SteadyClock) {
     private val log = LoggerFactory.getLogger("elderhitch.workers")
     private var term = Term.NONE
     private var silent: HashSet<MachineId>? = null
@@ -34,7 +31,7 @@
         term = leading.term
         silent = null
         settled = leading.former == null
-        end = leading.claimedAt + (times.window + times.hold + lease).stretched() + LEASE_MARGIN
+        end = leases.overAfterClaim(leading.claimedAt, times)
     }
 
     fun census(machines: Set<MachineId>) {
@@ -47,7 +44,7 @@
 
     /** The former leader has surely stopped answering workers: each lease that it kept alive ends from now on. */
     fun formerStopped() {
-        if (!settled) end = minOf(end, clock.now() + lease.stretched() + LEASE_MARGIN)
+        if (!settled) end = minOf(end, leases.overAfter(clock.now()))
     }
 
     /** True when the takeover has just ended. */
@@ -70,7 +67,8 @@
         return unheard.any { id -> known[id]?.let { job.mayUse(it.type, it.zone, it.spot) } ?: true }
     }
 
-    fun endsWithin(span: Duration, now: Moment): Boolean = end - now < span
+    /** It ends within one lease's time, whatever happens. */
+    fun endsSoon(now: Moment): Boolean = leases.endSoon(end, now)
 
     /** What the silent machines could be running, whoever it belongs to. */
     fun reserved(known: Map<MachineId, Machine>, catalog: Catalog): Resources {
@@ -80,10 +78,8 @@
         return sum
     }
 
-    internal companion object {
-        /** On top of a lease that is surely over: the clocks' steps. */
-        val LEASE_MARGIN = 500.milliseconds
-        private const val LOTS = 1e12
-        private val EVERYTHING = Resources(LOTS, LOTS, LOTS)
+    private companion object {
+        const val LOTS = 1e12
+        val EVERYTHING = Resources(LOTS, LOTS, LOTS)
     }
 }
--- a/src/main/kotlin/org/elderhitch/workers/TaskTable.kt
+++ b/src/main/kotlin/org/elderhitch/workers/TaskTable.kt
@@ -34,6 +34,7 @@
         undelivered.clear()
         for (job in jobs.values) {
             job.placements.clear()
+            job.surplus = null
             job.tally = Tally()
             job.done.addAll(job.finished)
             job.gang.reset()
@@ -45,10 +46,22 @@
     fun place(job: JobState, task: TaskId, attempt: Attempt, worker: WorkerState, certainty: Certainty, sendBy: Moment, sendFrom: Moment = Moment.NEVER): Placement {
         val placement = Placement(task, attempt, worker, certainty, sendBy, sendFrom)
         job.placements[task.index] = placement
-        worker.placements[task] = placement
-        worker.changed()
+        put(job, placement)
         if (certainty == Certainty.ASSIGNED) undelivered.add(worker)
-        if (certainty == Certainty.REPORTED) job.tally.seenStarting(clock.now())
+        return placement
+    }
+
+    private fun put(job: JobState, placement: Placement) {
+        placement.worker.placements[placement.task] = placement
+        placement.worker.changed()
+        if (placement.certainty == Certainty.REPORTED) job.tally.seenStarting(clock.now())
+    }
+
+    /** A copy that a worker reports beside the one that counts: it is stopped, and uses room until it is gone. */
+    fun placeSurplus(job: JobState, task: TaskId, attempt: Attempt, worker: WorkerState): Placement {
+        val placement = Placement(task, attempt, worker, Certainty.REPORTED, Moment.NEVER, Moment.NEVER)
+        put(job, placement)
+        demote(job, placement)
         return placement
     }
 
@@ -63,16 +76,45 @@
     }
 
     fun remove(job: JobState, placement: Placement) {
-        if (job.placements[placement.task.index] === placement) job.placements.remove(placement.task.index)
+        val counts = job.placements[placement.task.index] === placement
+        if (counts) promote(job, placement.task.index) else forgetSurplus(job, placement)
         if (!placement.counted) onLost(job, placement)
         placement.worker.placements.remove(placement.task)
         placement.worker.changed()
         if (placement.worker.placements.isEmpty()) placement.worker.idleSince = clock.now()
-        if (job.isGang) job.gang.lost(membersLeft = job.placements.isNotEmpty())
+        if (job.isGang && counts) job.gang.lost(membersLeft = job.placements.isNotEmpty())
         if (job.ended && job.placements.isEmpty()) depart(job)
         dirty = true
     }
 
+    /** One of two copies of a task goes on as the other's surplus, and is stopped. */
+    fun demote(job: JobState, placement: Placement) {
+        job.placements.remove(placement.task.index, placement)
+        val surplus = job.surplus ?: HashMap<Int, MutableList<Placement>>().also { job.surplus = it }
+        surplus.getOrPut(placement.task.index) { ArrayList() }.add(placement)
+        stop(job, placement, Duration.ZERO)
+    }
+
+    /** The copy that counted is gone: until the others are too, the first of them stands for the task. */
+    private fun promote(job: JobState, index: Int) {
+        job.placements.remove(index)
+        val copies = job.surplus?.get(index) ?: return
+        job.placements[index] = copies.removeAt(0)
+        if (copies.isEmpty()) dropSurplus(job, index)
+    }
+
+    private fun forgetSurplus(job: JobState, placement: Placement) {
+        val copies = job.surplus?.get(placement.task.index) ?: return
+        copies.remove(placement)
+        if (copies.isEmpty()) dropSurplus(job, placement.task.index)
+    }
+
+    private fun dropSurplus(job: JobState, index: Int) {
+        val surplus = job.surplus ?: return
+        surplus.remove(index)
+        if (surplus.isEmpty()) job.surplus = null
+    }
+
     private fun depart(job: JobState) {
         jobs.remove(job.id)
         val now = clock.now()
@@ -81,6 +123,10 @@
         while (ended.hasNext() && now - ended.next().second > DEPARTED_KEPT) ended.remove()
     }
 
+    /** Where each task is by this table, surplus copies not counted. */
+    fun whereabouts(): Map<TaskId, MachineId> =
+        jobs.values.flatMap { it.placements.values }.filter { it.certainty != Certainty.ASSIGNED }.associate { it.task to it.worker.id }
+
     /** What a task takes of a job that ended lately; null: it is not known. */
     fun departed(id: JobId): JobSpec? = departed[id]?.first
 
@@ -91,14 +137,23 @@
     }
 
     fun loseAll(worker: WorkerState) {
-        for (p in worker.placements.values.toList()) {
-            jobs[p.task.job]?.let { remove(it, p) }
-        }
-        worker.placements.clear()
+        for (p in worker.placements.values.toList()) lose(worker, p)
         worker.changed()
         worker.tasks = emptyList()
     }
 
+    /** Its session is over, and with it all that it was sent; what was only decided may go to the next one. */
+    fun loseSent(worker: WorkerState) {
+        for (p in worker.placements.values.toList()) if (p.certainty != Certainty.ASSIGNED) lose(worker, p)
+        worker.changed()
+        worker.tasks = emptyList()
+    }
+
+    private fun lose(worker: WorkerState, placement: Placement) {
+        worker.placements.remove(placement.task)
+        jobs[placement.task.job]?.let { remove(it, placement) }
+    }
+
     private companion object {
         /** Longer than tasks of a cancelled job may be anywhere (`cancel_s`). One that is found later counts as a whole machine. */
         val DEPARTED_KEPT = 120.seconds
--- a/src/main/kotlin/org/elderhitch/workers/WorkerState.kt
+++ b/src/main/kotlin/org/elderhitch/workers/WorkerState.kt
@@ -78,7 +78,10 @@
     /** A report with our term has come: its list is the truth. */
     var settled: Boolean = false
     var lastReport: Moment = since
-    var lastAnswer: Moment = Moment.NEVER
+
+    /** Null: it has said nothing yet. */
+    var lease: LeaseBelief? = null
+        private set
     var notice: Duration? = null
     var tasks: List<TaskReport> = emptyList()
     val placements: HashMap<TaskId, Placement> = HashMap()
@@ -109,6 +112,26 @@
     /** Starts sent to its own address that nobody answered: each may still be executed, or executed once more. */
     val loose: HashSet<Pair<TaskId, Attempt>> = HashSet()
 
+    /** Takes a word of the given session that is no [Word.STALE] one, sent at [at] at the latest. */
+    fun hears(session: Long, at: Moment, obeys: Boolean): Word {
+        val before = lease
+        lease = before?.told(session, at, obeys) ?: LeaseBelief.firstWord(session, at, obeys)
+        return before?.judge(session) ?: Word.SAME
+    }
+
+    /** A report of its known session, which came at [at], is being answered. */
+    fun answered(at: Moment) {
+        lease = lease?.answered(at)
+    }
+
+    /** Whether all that it was given is surely gone with its session; from then on no word of that session counts. */
+    fun outlived(now: Moment, times: LeaseTimes): Boolean {
+        val belief = lease ?: return false
+        if (!belief.isOver(now, times)) return false
+        lease = belief.over()
+        return true
+    }
+
     val isEmpty: Boolean get() = placements.isEmpty() && tasks.none { it.phase != TaskPhase.EXITED }
 
     /** As rounds see the machine; null: it changed since the last one. */
@@ -165,6 +188,13 @@
     val done = FinishedTasks(spec.tasks)
     val placements = HashMap<Int, Placement>()
 
+    /**
+     * Copies of tasks beside the one in [placements], being stopped: they use room, their zone and their team's limit, and while one is
+     * there the task is started nowhere. Null: none, as the rules want it.
+     */
+    var surplus: HashMap<Int, MutableList<Placement>>? = null
+    val copies: Int get() = placements.size + (surplus?.values?.sumOf { it.size } ?: 0)
+
     /** The versions of its recorded blocks of finished tasks. */
     var blockVersions: Map<Int, Revision> = emptyMap()
     var ended = false
@@ -186,6 +216,7 @@
     fun zones(): Map<Zone, Int> {
         val counts = HashMap<Zone, Int>()
         for (p in placements.values) counts.merge(p.zone, 1, Int::plus)
+        surplus?.values?.forEach { copies -> copies.forEach { counts.merge(it.zone, 1, Int::plus) } }
         return counts
     }
 
--- /dev/null
+++ b/src/test/kotlin/org/elderhitch/app/MassReturnTest.kt
@@ -0,0 +1,64 @@
+package org.elderhitch.app
+
+import kotlinx.coroutines.delay
+import org.elderhitch.lab.World
+import org.elderhitch.lab.WorldSettings
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Many machines that come back at once: after a cut longer than a lease, or with another list than the leader has. */
+class MassReturnTest {
+    private fun World.really(): Map<String, String> =
+        platform.workers().flatMap { (machine, worker) -> worker.present().keys.map { it to machine } }.toMap()
+
+    /**
+     * Seen on a simulated day at 749 machines: `ran_twice` 259 times (`docs/incidents/sessions-told.md`). The leader asked machines of a
+     * zone that had come back, gave them tasks, and at its next tick declared those lost by the lease of the session before.
+     */
+    @Test
+    fun `what a machine is given in a session that it told of stays there`() {
+        for (seed in 1L..6L) {
+            world(WorldSettings(seed, reportS = 3.0, machinesPerZone = 60, mostGpus = 2000.0)) {
+                submit("req-1", "daemon", 40, 0.0, mapOf("cores" to 40.0))
+                submit("req-2", "array", 400, 60.0, mapOf("cores" to 6.0))
+                until("machines up", 120.seconds) { onMachine.values.toSet().size >= 80 }
+                val cut = platform.cloud.machines().filter { it.zone == "b" }.map { it.id }.toSet()
+                silentWorkers = cut
+                delay((12 + seed).seconds)
+                silentWorkers = emptySet()
+                until("services whole", 60.seconds) { onMachine.keys.count { it.startsWith("req-1/") } == 40 }
+                until("array done", 300.seconds) { standing("req-2") == "done" }
+                assertRulesKept()
+            }
+        }
+    }
+
+    /**
+     * A hundred machines each send one report that names none of their tasks, and go on running them: the table is wrong about every one. Each
+     * next report must put it right: no start goes to a machine that has said that it is full, and what was started twice is stopped.
+     */
+    @Test
+    fun `a table that contradicts a hundred machines agrees with them within two reports of each`() =
+        world(WorldSettings(3, reportS = 3.0, machinesPerZone = 50, mostGpus = 2000.0)) {
+            submit("req-1", "array", 800, 600.0, mapOf("cores" to 6.0, "borrowedRigs" to false))
+            until("all run", 180.seconds) { onMachine.size == 800 }
+            delay(10.seconds)
+            val workers = platform.workers().values
+            assertTrue(workers.size >= 100, "${workers.size} machines")
+            workers.forEach { it.lie() }
+            val began = clock.now()
+            until("all have told the truth", 12.seconds) { workers.all { it.truthfulSince != null } }
+            until("table and machines agree", 2.seconds) { survey()?.mapKeys { it.key.toString() }?.mapValues { it.value.text } == really() }
+            assertTrue(clock.now() - began <= 8.seconds, "two reports of each take 7.5 s at most")
+            // What was on its way when a machine told the truth may still reach it.
+            val late = workers.filter { w -> refusedAt[w.id].let { it != null && it > (w.truthfulSince ?: it) + 200.milliseconds } }
+            assertEquals(emptyList(), late.map { it.id }, "starts were sent to machines that had said that they are full")
+            val starts = startsOf.values.sum()
+            delay(20.seconds)
+            assertEquals(starts, startsOf.values.sum(), "no starts once table and machines agree")
+            assertEquals(800, onMachine.size)
+        }
+}
--- /dev/null
+++ b/src/test/kotlin/org/elderhitch/workers/EventLogTest.kt
@@ -0,0 +1,41 @@
+package org.elderhitch.workers
+
+import org.elderhitch.time.Moment
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class EventLogTest {
+    private var now = Moment(0)
+    private val lines = ArrayList<String>()
+    private val events = EventLog({ now }, lines::add, lines::add)
+
+    /** Seen: 33,424 lines of one kind in two minutes, each tick for each task of each machine. */
+    @Test
+    fun `what happens to 1,500 machines a hundred times over fills a bounded part of the log, and is counted`() {
+        repeat(100) {
+            repeat(1500) { machine -> events.error("task on two machines", MachineId("m$machine")) { "task on two machines machine=m$machine" } }
+            now += 300.milliseconds
+            events.tick()
+        }
+        assertTrue(lines.size <= 3 * (EventLog.MOST + 1), "${lines.size} lines in 30 s")
+        now += 11.seconds
+        events.tick()
+        val told = lines.count { it.startsWith("task") }
+        val withheld = lines.filter { it.startsWith("more of the same") }.sumOf { it.substringAfter("count=").substringBefore(' ').toInt() }
+        assertEquals(150_000, told + withheld)
+    }
+
+    @Test
+    fun `one line a machine and cause, and again when its time is over`() {
+        repeat(5) { events.info("start refused", MachineId("m1")) { "refused" } }
+        events.info("start refused", MachineId("m2")) { "refused" }
+        events.info("worker silent", MachineId("m1")) { "silent" }
+        assertEquals(listOf("refused", "refused", "silent"), lines)
+        now += 10.seconds + 1.milliseconds
+        events.info("start refused", MachineId("m1")) { "refused" }
+        assertEquals(listOf("more of the same event=\"start refused\" count=4 in_s=10", "refused"), lines.drop(3))
+    }
+}
