Lab: a network of cuts that hold or reset, and what a node's work costs it

Need: storms of overlapping troubles want zones that are cut off, packets that come late, refusals, hanging machines and nodes that fall behind.

--- a/src/main/kotlin/org/elderhitch/app/Controller.kt
+++ b/src/main/kotlin/org/elderhitch/app/Controller.kt
@@ -60,6 +60,8 @@
     random: Random,
     features: Features = Features.NONE,
     private val bound: Footprint = Footprint.bound(Runtime.getRuntime().maxMemory()),
+    /** Told after each placement round how many looks at machines and candidates it took. */
+    onRound: (looks: Long) -> Unit = {},
 ) {
     private val incarnation = Incarnation(random.nextLong().toULong().toString(RADIX))
     private val times = TenureTimes.of(settings.workers)
@@ -82,7 +84,7 @@
         settings.stateLimits.valueBytes, ::entitled, { renter }, { foreman.tell(it) },
     )
     private val foreman: Foreman =
-        Foreman(scope, times, settings.workers, settings.teams, settings.objectives, settings.nodeZones, clock, wiring, wall, features.rules)
+        Foreman(scope, times, settings.workers, settings.teams, settings.objectives, settings.nodeZones, clock, wiring, wall, features.rules, onRound)
     private val renter: Renter = Renter(scope, cloud, client, policy, settings.instantClasses, settings.cloudLimits.listLag, clock, fleetPorts())
     private val catalog: CatalogKeeper = CatalogKeeper(scope, cloud, client, settings.stateLimits.valueBytes, ::catalogIs)
     private val feed: Feed = Feed(scope, client, clock, FeedFan(book, renter, catalog, foreman, leadership, ::featureSet))
--- /dev/null
+++ b/src/main/kotlin/org/elderhitch/lab/Network.kt
@@ -0,0 +1,188 @@
+package org.elderhitch.lab
+
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.elderhitch.http.Address
+import org.elderhitch.http.Delivery
+import org.elderhitch.http.Handler
+import org.elderhitch.http.HttpServer
+import org.elderhitch.http.Message
+import org.elderhitch.http.MessageParser
+import org.elderhitch.http.Request
+import org.elderhitch.http.Response
+import org.elderhitch.http.Transport
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** What becomes of a transaction on its way to the state service. */
+internal sealed interface Fate {
+    data object Answered : Fate
+
+    /** Executed, and the answer lost. */
+    data object AnswerLost : Fate
+
+    /** No answer; executed after [by] all the same. */
+    data class Late(val by: Duration) : Fate
+}
+
+/** What becomes of packets between hosts that a cut separates. */
+internal enum class CutMode { HOLD, RESET }
+
+/** A cut between hosts, for as long as it is in the network. */
+internal class Cut(val mode: CutMode, val separates: (String, String) -> Boolean) {
+    val over = CompletableDeferred<Unit>()
+}
+
+/**
+ * The network of a world. Hosts are nodes (`n0`), machines (`host-000001`), `state`, `cloud` and `user`. A request that meets a cut gets no
+ * answer; where packets are held, it may be carried out when the cut is over (PROTOCOL, "Delayed messages").
+ */
+internal class Network(private val outside: CoroutineScope, private val random: Random, private val workerAt: (Address) -> Handler?) {
+    val handlers = HashMap<String, Handler>()
+
+    /** Where a node's own coroutines run: what it was to answer is gone when it crashes. */
+    val nodes = HashMap<String, CoroutineScope>()
+
+    /** Which of a node's transactions go astray, and how. */
+    var fateOf: (node: String, commit: String) -> Fate = { _, _ -> Fate.Answered }
+
+    /** Pairs of hosts that don't hear each other; `workers` stands for all machines. */
+    val pairs = HashSet<Pair<String, String>>()
+
+    /** Cuts between groups of hosts. */
+    val cuts = ArrayList<Cut>()
+
+    /** Machines that nobody hears and that hear nobody. */
+    var silentWorkers: Set<String?> = emptySet()
+
+    /** Nodes that the state service refuses. */
+    val refused = HashSet<String>()
+
+    /** Nodes refuse each other's connections. */
+    var peersRefuse = false
+
+    /** How late the next command to a worker's own address is executed; null: at once. */
+    var lateCommands: () -> Duration? = { null }
+
+    /** How long the answer to a report is on its way, and how long a report itself is, beyond the usual. */
+    var slowAnswers: () -> Duration = { Duration.ZERO }
+    var slowReports: () -> Duration = { Duration.ZERO }
+
+    /** Told of work that a node gets: what it costs the node is another's business. */
+    var onWork: (node: String, path: String) -> Unit = { _, _ -> }
+
+    fun heal(cut: Cut) {
+        cuts.remove(cut)
+        cut.over.complete(Unit)
+    }
+
+    private fun between(from: String, to: String): Cut? = cuts.firstOrNull { it.separates(from, to) }
+
+    /** [machine]: the caller is that machine's worker. */
+    fun transport(from: String, machine: String? = null): Transport = object : Transport {
+        override suspend fun deliver(to: Address, method: String, target: String, body: ByteArray?, connect: Duration, timeout: Duration): Delivery =
+            toWorker(from, to, request(method, target, body), connect, timeout)
+
+        override suspend fun call(to: Address, method: String, target: String, body: ByteArray?, timeout: Duration): Response? =
+            withTimeoutOrNull(timeout) { answer(from, machine, to, request(method, target, body)) }
+    }
+
+    private fun request(method: String, target: String, body: ByteArray?): Request =
+        MessageParser.request(Message("$method $target HTTP/1.1", emptyMap(), body ?: ByteArray(0), true), "127.0.0.1")
+
+    private suspend fun answer(from: String, machine: String?, to: Address, request: Request): Response? {
+        delay(LATENCY)
+        val host = to.host
+        val source = machine ?: from
+        if (from to host in pairs || host to from in pairs || machine in silentWorkers) delay(Duration.INFINITE)
+        val handler = handlers[to.text] ?: return null
+        between(source, host)?.let { astrayAt(it, to, handler, request) }
+        if (host == "state" && from in refused) return refusal(request)
+        if (peersRefuse && from in nodes && host in nodes) return null
+        if (request.path == "/commit" && host == "state") astray(from, handler, request)
+        if (machine != null) delay(slowReports())
+        val answer = handled(host, handler, request)
+        if (machine != null) delay(slowAnswers())
+        between(host, source)?.let { if (it.mode == CutMode.HOLD) it.over.await() else delay(Duration.INFINITE) }
+        if (source in nodes) onWork(source, "answer")
+        return answer
+    }
+
+    private suspend fun handled(host: String, handler: Handler, request: Request): Response? {
+        val node = nodes[host] ?: return handler.handle(request)
+        onWork(host, request.path)
+        var answer: Response? = null
+        node.launch { answer = handler.handle(request) }.join()
+        return answer
+    }
+
+    /** Watches stay open and wait, all else is told at once. */
+    private suspend fun refusal(request: Request): Response {
+        if (request.path == "/watch") delay(Duration.INFINITE)
+        return HttpServer.refusal(BUSY, "refused")
+    }
+
+    /** On a connection that is open already the request waits for the end of the cut, and its caller gives up before. */
+    private suspend fun astrayAt(cut: Cut, to: Address, handler: Handler, request: Request): Nothing {
+        if (cut.mode == CutMode.HOLD && random.nextDouble() < OPEN_ALREADY) {
+            outside.launch {
+                cut.over.await()
+                // A node that has crashed since took its connections with it.
+                if (handlers[to.text] === handler) handled(to.host, handler, request)
+            }
+        }
+        delay(Duration.INFINITE)
+        error("a delay without end is over")
+    }
+
+    private suspend fun astray(from: String, state: Handler, request: Request) {
+        when (val fate = fateOf(from, request.body.decodeToString())) {
+            Fate.Answered -> return
+            Fate.AnswerLost -> state.handle(request)
+            is Fate.Late -> outside.launch {
+                delay(fate.by)
+                state.handle(request)
+            }
+        }
+        delay(Duration.INFINITE)
+    }
+
+    /** A command to a worker's own address; its fate may be to be lost on the way back, or to arrive late. */
+    private suspend fun toWorker(from: String, to: Address, request: Request, connect: Duration, timeout: Duration): Delivery {
+        delay(LATENCY)
+        val cut = between(from, to.host)
+        if (workerAt(to) == null || to.host in silentWorkers || from to "workers" in pairs || cut != null && (cut.mode == CutMode.RESET || random.nextDouble() >= OPEN_ALREADY)) {
+            delay(connect)
+            return Delivery.NotSent
+        }
+        val late = lateCommands()
+        if (late == null && cut == null) {
+            // The machine may hang: then the caller gives up, and the command is carried out when it goes on.
+            val done = CompletableDeferred<Response>()
+            outside.launch { workerAt(to)?.let { done.complete(it.handle(request)) } }
+            val answer = withTimeoutOrNull(timeout) { done.await() }
+            between(to.host, from)?.let { delay(timeout) }
+            onWork(from, "answer")
+            return if (answer == null || between(to.host, from) != null) Delivery.Unknown else Delivery.Answered(answer)
+        }
+        outside.launch {
+            cut?.over?.await()
+            delay(late ?: Duration.ZERO)
+            workerAt(to)?.handle(request)
+        }
+        delay(timeout)
+        return Delivery.Unknown
+    }
+
+    private companion object {
+        const val BUSY = 503
+
+        /** How many requests that meet a cut were sent on connections that stood before it. */
+        const val OPEN_ALREADY = 0.5
+        val LATENCY = 3.milliseconds
+    }
+}
--- a/src/main/kotlin/org/elderhitch/workers/Foreman.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Foreman.kt
@@ -49,6 +49,7 @@
     private val ports: ForemanPorts,
     private val wall: WallClock,
     rules: ClassRules = ClassRules.NONE,
+    private val onRound: (looks: Long) -> Unit = {},
 ) : Actor<ForemanMessage>(scope) {
     private val log = LoggerFactory.getLogger("elderhitch.workers")
     private val table = TaskTable(clock)
@@ -309,6 +310,7 @@
     }
 
     private fun rest(input: RoundInput, output: RoundOutput, began: Moment) {
+        onRound(output.visits + input.machines.size)
         val ended = clock.now()
         roundAgain = ended + maxOf(ROUND_LEAST, (ended - began) * ROUND_REST)
         if (log.isDebugEnabled) {
