--- a/src/main/kotlin/org/elderhitch/lab/StormLab.kt
+++ b/src/main/kotlin/org/elderhitch/lab/StormLab.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.elderhitch.time.Moment
+import org.slf4j.LoggerFactory
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -19,6 +20,7 @@
 
 /** Plays a schedule of overlapping troubles against whole controllers in virtual time, and watches over the rules and the recovery. */
 internal class StormLab(private val schedule: Schedule, private val share: Double?) {
+    private val log = LoggerFactory.getLogger("elderhitch.lab")
     private val random = Random(schedule.seed xor SALT)
     private val pace = PACES[(schedule.seed % PACES.size).toInt()]
     private val down = HashSet<String>()
@@ -44,6 +46,7 @@
             launch {
                 while (true) {
                     delay(1.seconds)
+                    log.debug("storm time_s={} leader={}", time.nowMs / MS, world.leader())
                     rules.tick()
                 }
             }
@@ -101,6 +104,7 @@
         val network = world.network
         val cloud = world.platform.cloud
         fun draw(): Boolean = random.nextDouble() < trouble.share
+        log.debug("storm trouble={} lasts_ms={} target={} from={}", trouble.kind.word, trouble.lasts.inWholeMilliseconds, trouble.target, trouble.from)
         when (trouble.kind) {
             Kind.HANG -> {
                 val hanging = world.platform.workers().toSortedMap().values.filter { draw() }
@@ -206,6 +210,7 @@
         private const val ZONE_KINDS = 6
         private const val CANCEL_BEYOND_LEASE = 30.0
         private const val P95 = 0.95
+        private const val MS = 1000
         private val BOOT = 15.seconds
         private val RESTART = 5.seconds
         private val WARM_UP = 60.seconds
--- a/src/main/kotlin/org/elderhitch/standin/WorkerStandIn.kt
+++ b/src/main/kotlin/org/elderhitch/standin/WorkerStandIn.kt
@@ -1,6 +1,7 @@
 package org.elderhitch.standin
 
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
@@ -176,6 +177,8 @@
     /** Commands straight to the worker's own address. */
     override suspend fun handle(request: Request): Response {
         awake()
+        // What waited for a machine that was returned meanwhile is gone with it.
+        if (gone) awaitCancellation()
         expire()
         if (request.path == "/inspect") return Response(OK, report())
         val body = try {
