--- a/src/main/kotlin/org/elderhitch/jobs/JobDesk.kt
+++ b/src/main/kotlin/org/elderhitch/jobs/JobDesk.kt
@@ -154,11 +154,13 @@
 
     public suspend fun show(id: JobId): Answer {
         (lookup(id) as? Known.Ended)?.let { return Answer.State(id, it.record.standing()) }
+        // A job that was submitted under such an id before somebody kept any is found further down.
+        keeper(id)?.let { kept -> if (lookup(id) !is Known.Open) kept.show(id).let { if (it != Answer.Unknown) return it } }
         if (!feed.sync()) return Answer.NotNow("the state service doesn't answer")
         return when (val known = lookup(id)) {
             is Known.Ended -> Answer.State(id, known.record.standing())
             is Known.Open -> Answer.State(id, known.standing)
-            Known.Absent -> keeper(id)?.show(id) ?: Answer.Unknown
+            Known.Absent -> Answer.Unknown
             is Known.Nothing -> when (val read = client.read(Keys.end(id), Purpose.END)) {
                 is ReadOutcome.Found -> EndRecord.decode(read.entry.value)?.let {
                     book.tell(JobMessage.EndedHere(id, it))
@@ -166,7 +168,7 @@
                 } ?: Answer.NotNow("the job's ending can't be read")
                 ReadOutcome.Absent -> {
                     book.tell(JobMessage.AbsentHere(id, known.epoch))
-                    keeper(id)?.show(id) ?: Answer.Unknown
+                    Answer.Unknown
                 }
                 ReadOutcome.Unavailable -> Answer.NotNow("the state service doesn't answer")
             }
--- a/src/main/kotlin/org/elderhitch/standin/StateStandIn.kt
+++ b/src/main/kotlin/org/elderhitch/standin/StateStandIn.kt
@@ -45,6 +45,13 @@
 
     public fun keys(): Set<String> = items.keys.toSet()
 
+    /** Something else has written there, or the value has rotted. For tests. */
+    public fun overwrite(key: String, value: Map<String, Any?>) {
+        revision++
+        items[key] = Item(value, revision, null)
+        remember(Event(key, true, value, revision))
+    }
+
     /** The value of a key; null: absent. */
     public fun value(key: String): JsonObject? = (items[key]?.value as? Map<*, *>)?.let(JsonObject::of)
 
--- a/src/main/kotlin/org/elderhitch/sweeps/Feeder.kt
+++ b/src/main/kotlin/org/elderhitch/sweeps/Feeder.kt
@@ -41,6 +41,8 @@
     }
 
     private val log = LoggerFactory.getLogger("elderhitch.sweeps")
+
+    /** What the table of this node holds, in a term of its own or since one: a table outlives its term, so the ends of these are told to it in every role. */
     private val opened = HashMap<SweepId, Opened>()
     private var loop: Job? = null
 
@@ -48,6 +50,7 @@
 
     fun begin() {
         end()
+        opened.values.forEach { it.next = 0 }
         loop = scope.launch {
             while (true) {
                 feed()
@@ -59,7 +62,6 @@
     fun end() {
         loop?.cancel()
         loop = null
-        opened.clear()
     }
 
     private suspend fun feed() {
@@ -99,11 +101,10 @@
         val first = after.number * Block.SIZE
         for (at in 0 until minOf(Block.SIZE, state.points - first)) {
             if (before.endOf(at) != null || after.endOf(at) == null) continue
-            opened[state.id]?.points?.remove(first + at)
-            jobs(JobEvent.Ended(state.id.point(first + at)))
+            if (opened[state.id]?.points?.remove(first + at) == true) jobs(JobEvent.Ended(state.id.point(first + at)))
         }
         if (state.open == 0) {
-            log.info("sweep ended sweep={} done={} withdrawn={} skipped={}", state.id, state.done, state.withdrawn, state.skippedCount)
+            if (loop != null) log.info("sweep ended sweep={} done={} withdrawn={} skipped={}", state.id, state.done, state.withdrawn, state.skippedCount)
             opened.remove(state.id)
             library.forget(state.id)
         }
--- a/src/main/kotlin/org/elderhitch/sweeps/Library.kt
+++ b/src/main/kotlin/org/elderhitch/sweeps/Library.kt
@@ -11,6 +11,7 @@
 import org.elderhitch.time.WallTime
 import org.slf4j.LoggerFactory
 import kotlin.time.Duration.Companion.hours
+import kotlin.time.Duration.Companion.minutes
 
 /** What reading the parts of a description came to. */
 internal sealed interface Reading {
@@ -24,6 +25,9 @@
     private val log = LoggerFactory.getLogger("elderhitch.sweeps")
     private val held = HashMap<SweepId, Description>()
 
+    /** Descriptions that can't be read: torn, or with parts gone. Their points wait for somebody to withdraw them, and hold up nobody else's. */
+    private val broken = HashMap<SweepId, WallTime>()
+
     fun loaded(id: SweepId): Description? = held[id]
 
     fun forget(id: SweepId) {
@@ -32,34 +36,38 @@
 
     fun clear() = held.clear()
 
-    /** True if the description is here now. */
+    /** False: it can't be had now. Whether it is [loaded] then is another question: one that is broken is not. */
     suspend fun load(state: SweepState): Boolean {
-        if (state.id in held) return true
-        held[state.id] = read(state) ?: return false
-        return true
-    }
-
-    /** Null: it can't be had now, or is not what the manifest names. */
-    suspend fun read(state: SweepState): Description? {
-        held[state.id]?.let { return it }
+        if (state.id in held || broken[state.id].let { it != null && wall.now() - it < BROKEN_AGAIN }) return true
         return when (val read = parts(state.id, state.manifest.parts)) {
             is Reading.Packed -> described(state, read.bytes)
-            is Reading.Missing -> null.also { log.error("sweep part missing sweep={} part={}", state.id, read.part) }
-            Reading.NotNow -> null
+            is Reading.Missing -> broken(state, "part ${read.part} is missing")
+            Reading.NotNow -> false
         }
     }
 
-    private fun described(state: SweepState, packed: ByteArray): Description? {
-        if (Description.sum(packed) != state.manifest.sum) {
-            log.error("sweep description torn sweep={}", state.id)
-            return null
-        }
-        return try {
-            Description.unpack(packed)
+    /** Null: it can't be had now, or at all. */
+    suspend fun read(state: SweepState): Description? {
+        val before = held[state.id]
+        if (before != null || !load(state)) return before
+        // Only a leader holds what it has read.
+        return held.remove(state.id)
+    }
+
+    private fun broken(state: SweepState, reason: String): Boolean {
+        log.error("sweep description broken sweep={} reason=\"{}\"", state.id, reason)
+        broken[state.id] = wall.now()
+        return true
+    }
+
+    private fun described(state: SweepState, packed: ByteArray): Boolean {
+        if (Description.sum(packed) != state.manifest.sum) return broken(state, "its checksum is another")
+        try {
+            held[state.id] = Description.unpack(packed)
         } catch (e: BadTemplate) {
-            log.error("sweep description malformed sweep={} reason=\"{}\"", state.id, e.message)
-            null
+            return broken(state, e.message.orEmpty())
         }
+        return true
     }
 
     suspend fun parts(id: SweepId, count: Int): Reading {
@@ -124,5 +132,6 @@
     private companion object {
         const val TRIES = 3
         val ORPHANED = 1.hours
+        val BROKEN_AGAIN = 1.minutes
     }
 }
--- a/src/main/kotlin/org/elderhitch/sweeps/SweepState.kt
+++ b/src/main/kotlin/org/elderhitch/sweeps/SweepState.kt
@@ -54,7 +54,7 @@
     public fun withDone(points: Map<Int, Account?>): Block {
         val fresh = points.filterKeys { endOf(it) == null }
         if (fresh.isEmpty()) return this
-        return Block(number, with(done, fresh.keys), withdrawn, fresh.values.fold(work) { sum, account -> sum + Work.of(account) }, version)
+        return Block(number, with(done, fresh.keys), withdrawn, work.with(fresh.values), version)
     }
 
     /** With these points withdrawn, as far as they are open. */
--- a/src/main/kotlin/org/elderhitch/sweeps/Work.kt
+++ b/src/main/kotlin/org/elderhitch/sweeps/Work.kt
@@ -20,6 +20,17 @@
     public val least: Long,
     private val durations: Histogram?,
 ) {
+    /** With completed points more; an account is null if nobody could say. */
+    public fun with(accounts: Collection<Account?>): Work {
+        val took = durations?.copy() ?: histogram()
+        for (account in accounts) took.recordValue(((account?.usefulS ?: 0.0) * TENTHS).toLong().coerceIn(0, LONGEST))
+        val seen = accounts.filterNotNull()
+        return Work(
+            completed + accounts.size, attempts + seen.sumOf { it.attempts }, lost + seen.sumOf { it.lost }, usefulS + seen.sumOf { it.usefulS },
+            lostS + seen.sumOf { it.lostS }, least + accounts.count { it == null || it.lowerBound }, took,
+        )
+    }
+
     public operator fun plus(other: Work): Work = Work(
         completed + other.completed, attempts + other.attempts, lost + other.lost, usefulS + other.usefulS, lostS + other.lostS, least + other.least,
         when {
@@ -50,14 +61,6 @@
 
         private fun histogram() = Histogram(LONGEST, DIGITS).apply { isAutoResize = false }
 
-        /** [account]: null if nobody could say. */
-        public fun of(account: Account?): Work {
-            val took = histogram()
-            if (account == null) return Work(1, 0, 0, 0.0, 0.0, 1, took.apply { recordValue(0) })
-            took.recordValue((account.usefulS * TENTHS).toLong().coerceIn(0, LONGEST))
-            return Work(1, account.attempts, account.lost, account.usefulS, account.lostS, if (account.lowerBound) 1 else 0, took)
-        }
-
         private fun packed(histogram: Histogram): String {
             val buffer = ByteBuffer.allocate(histogram.neededByteBufferCapacity)
             val length = histogram.encodeIntoCompressedByteBuffer(buffer)
--- a/src/test/kotlin/org/elderhitch/sweeps/SweepStateTest.kt
+++ b/src/test/kotlin/org/elderhitch/sweeps/SweepStateTest.kt
@@ -80,8 +80,8 @@
     fun `percentiles are those of the points, to within a hundredth, over blocks`() {
         val random = Random(5)
         val took = List(3000) { random.nextInt(1, 5000) / 10.0 }
-        val works = took.map { Work.of(Account(TeamName("t"), "c", 1, 0, it, 0.0, null, WallTime(0), false)) }
-        val parts = works.chunked(700).map { part -> Work.decode(Json.parseObject(Json.bytes(part.fold(Work.NONE, Work::plus).encode()))) }
+        val works = took.map { Account(TeamName("t"), "c", 1, 0, it, 0.0, null, WallTime(0), false) }
+        val parts = works.chunked(700).map { part -> Work.decode(Json.parseObject(Json.bytes(Work.NONE.with(part).encode()))) }
         val all = parts.fold(Work.NONE, Work::plus)
         assertEquals(3000, all.completed)
         assertEquals(took.sum(), all.usefulS, 0.5)
--- a/src/test/kotlin/org/elderhitch/sweeps/SweepsInVirtualTimeTest.kt
+++ b/src/test/kotlin/org/elderhitch/sweeps/SweepsInVirtualTimeTest.kt
@@ -230,6 +230,39 @@
         assertEquals(null, without.unserved(listOf(org.elderhitch.store.Entry(Keys.TERM, org.elderhitch.json.JsonObject.of(mapOf("n" to 1)), org.elderhitch.store.Revision(5)))))
     }
 
+    /** A node that led before has points in its table: what ended under others must not be started there when it leads again. */
+    @Test
+    fun `leaders that come and go start nothing that has ended`() = swept(runs = 2.0) {
+        accepted(submit(Examples.range(400, ""","at_once":100""")))
+        until("some are done", 120.seconds) { shown()["done"] as Long > 30 }
+        repeat(4) {
+            val leader = assertNotNull(leader())
+            (names - leader + listOf("state", "cloud", "workers")).forEach { cuts.add(leader to it) }
+            delay(10.seconds)
+            cuts.clear()
+            delay(4.seconds)
+        }
+        ended()
+        val starts = (0 until 400).map { startsOf["${id.point(it)}/0"] ?: 0 }
+        assertTrue(starts.all { it in 1..2 }, "points were started again and again: ${starts.groupingBy { it }.eachCount()}")
+        delay(30.seconds)
+        assertTrue(onMachine.isEmpty() && starts == (0 until 400).map { startsOf["${id.point(it)}/0"] ?: 0 })
+    }
+
+    /** A part that is gone or torn: that sweep waits and says so, everything else goes on, and it can be withdrawn. */
+    @Test
+    fun `a sweep whose description is broken holds up nobody`() = swept {
+        accepted(submit(Examples.range(50)))
+        platform.state.overwrite("v/sweeps/p/test/0", mapOf("data" to "AAAA", "at" to 0))
+        crash(assertNotNull(leader()))
+        submit("req-1", "array", 4, 2.0)
+        until("another's job is done", 60.seconds) { standing("req-1") == "done" }
+        accepted(client().submit(SweepId("other"), Examples.range(20).pack(), 8192, dry = false, 60.seconds))
+        until("another sweep ends", 120.seconds) { ask("GET", "/sweeps/other").second["open"] == 0L }
+        assertEquals(200 to 0L, ask("POST", "/sweeps/$id/withdraw", emptyMap()).let { it.first to it.second["open"] })
+        assertTrue(word(3) in setOf("done", "withdrawn"))
+    }
+
     @Test
     fun `mistakes are told and nothing is recorded`() = swept {
         suspend fun post(path: String, body: Map<String, Any?>) = ask("POST", "/sweeps/$path", body, node = "n0")
