DRMAA: the test of synchronize with a held job, defaults said once, no coroutine a request

Need: three things that were noticed and left. Change: a test of its own for "all jobs so far" with a held job of a lower number; the features section takes its defaults from DrmaaSettings; a coroutine to mark a session as used is launched once an hour instead of with each request.

--- a/src/main/kotlin/org/elderhitch/drmaa/Drmaa.kt
+++ b/src/main/kotlin/org/elderhitch/drmaa/Drmaa.kt
@@ -94,7 +94,7 @@
         if (claim !is Claim.InSession) throw Refused(Fault.NoActiveSessionException, "a session's token is needed")
         val record = book.look(claim.session) { it.record } ?: unseen(claim)
         if (record.team != claim.team) throw Refused(Fault.AuthorizationException, "the session is another team's")
-        context.scope.launch { sessions.touch(claim.session, record) }
+        if (sessions.isUnmarked(record)) context.scope.launch { sessions.touch(claim.session, record) }
         return when (path) {
             "close" -> if (sessions.close(claim.session, "exit")) ok("closed" to true) else throw Refused(Fault.DrmCommunicationException, "the state service takes no record now")
             "run" -> run(claim, body)
--- a/src/main/kotlin/org/elderhitch/drmaa/DrmaaSettings.kt
+++ b/src/main/kotlin/org/elderhitch/drmaa/DrmaaSettings.kt
@@ -42,13 +42,14 @@
         } catch (e: IllegalArgumentException) {
             section.bad("networks", e.message.orEmpty())
         }
+        val defaults = DrmaaSettings(tokens, networks, emptyMap())
         return DrmaaSettings(
             tokens, networks, section.section("categories")?.let(::categories).orEmpty(),
-            section.whole("sessions_per_team", 1, MOST_SESSIONS) ?: DEFAULT_SESSIONS,
-            section.whole("results_per_session", 1, MOST_RESULTS) ?: DEFAULT_RESULTS,
-            section.whole("held_per_team", 0, MOST_HELD) ?: DEFAULT_HELD,
-            (section.number("keep_results_days", LEAST_DAYS, MOST_DAYS) ?: DEFAULT_RESULT_DAYS).days,
-            (section.number("keep_sessions_days", LEAST_SESSION_DAYS, MOST_DAYS) ?: DEFAULT_SESSION_DAYS).days,
+            section.whole("sessions_per_team", 1, MOST_SESSIONS) ?: defaults.sessionsPerTeam,
+            section.whole("results_per_session", 1, MOST_RESULTS) ?: defaults.resultsPerSession,
+            section.whole("held_per_team", 0, MOST_HELD) ?: defaults.heldPerTeam,
+            section.number("keep_results_days", LEAST_DAYS, MOST_DAYS)?.days ?: defaults.keepResults,
+            section.number("keep_sessions_days", LEAST_SESSION_DAYS, MOST_DAYS)?.days ?: defaults.keepSessions,
         )
     }
 
@@ -65,15 +66,10 @@
         const val MOST_SESSIONS = 1000
         const val MOST_RESULTS = 1_000_000
         const val MOST_HELD = 5000
-        const val DEFAULT_SESSIONS = 50
-        const val DEFAULT_RESULTS = 200_000
-        const val DEFAULT_HELD = 500
         const val LEAST_DAYS = 0.01
 
         /** That a session is in use is left in the state service once an hour. */
         const val LEAST_SESSION_DAYS = 0.1
         const val MOST_DAYS = 3650.0
-        const val DEFAULT_RESULT_DAYS = 7.0
-        const val DEFAULT_SESSION_DAYS = 30.0
     }
 }
--- a/src/main/kotlin/org/elderhitch/drmaa/Sessions.kt
+++ b/src/main/kotlin/org/elderhitch/drmaa/Sessions.kt
@@ -39,10 +39,12 @@
         throw Refused(Fault.DrmCommunicationException, "the state service doesn't answer")
     }
 
-    /** Leaves word that the session is in use, once an hour; that it can't be left now is no reason to refuse anything. */
+    /** Whether an hour has passed since word was left that the session is in use. */
+    public fun isUnmarked(record: SessionRecord): Boolean = wall.now() - record.used >= TOUCH_EVERY
+
+    /** Leaves word that the session is in use; that it can't be left now is no reason to refuse anything. */
     public suspend fun touch(session: SessionName, record: SessionRecord) {
         val now = wall.now()
-        if (now - record.used < TOUCH_EVERY) return
         client.commit(
             listOf(Condition(DrmaaKeys.session(session), record.version)),
             listOf(Write.Put(DrmaaKeys.session(session), record.copy(used = now).encode())),
--- a/src/test/kotlin/org/elderhitch/drmaa/SessionsInVirtualTimeTest.kt
+++ b/src/test/kotlin/org/elderhitch/drmaa/SessionsInVirtualTimeTest.kt
@@ -334,6 +334,29 @@
         assertNotEquals("FAILED", other.status(kept))
     }
 
+    /** Overlooked once: a held job with a lower number than the last submitted took its place, and the later ones were not waited for. */
+    @Test
+    fun `all jobs so far include those after a held one`() = drmaa { settings ->
+        val client = client(settings)
+        val held = client.submitted(short + mapOf("hold" to true))
+        val long = client.submitted(mapOf("category" to "long"))
+        val request = client.request()
+        // What "all so far" are is said by the first answer, and comes back with each further question.
+        var upTo: Map<String, Any?> = emptyMap()
+        suspend fun synchronized(): Any? {
+            val answer = client.ask("sync", mapOf("request" to request, "jobs" to listOf(WireClient.ALL), "dispose" to false, "holdMs" to 3_000) + upTo).body
+            answer.objectOrNull("upto")?.let { said -> upTo = mapOf("upto" to said.names.associateWith { said.raw(it) }) }
+            return answer.raw("ended")
+        }
+        assertEquals(null, synchronized())
+        assertEquals(200, client.control(held, "TERMINATE").status)
+        delay(2.seconds)
+        assertEquals(null, synchronized(), "the later job still runs")
+        assertEquals(200, client.control(long, "TERMINATE").status)
+        delay(2.seconds)
+        assertEquals(true, synchronized())
+    }
+
     @Test
     fun `an outage during a bulk job of a hundred thousand loses nothing and submits it once`() = drmaa { settings ->
         val client = client(settings)
