A session is answered before the round that its report brings; duplicates tested by themselves

Change: the answer counts before the round; what is stopping keeps its grace; the lab withdraws points that are half started.

--- a/src/main/kotlin/org/elderhitch/lab/SweepLab.kt
+++ b/src/main/kotlin/org/elderhitch/lab/SweepLab.kt
@@ -31,7 +31,9 @@
 internal class SweepLab(private val seed: Long, private val points: Int, private val progress: (String) -> Unit) {
     private val random = Random(seed)
     private val id = SweepId("lab$seed")
-    private val withdrawn = points / 4 until points / 4 + maxOf(1, points / 10)
+
+    /** Points that are half started when they are withdrawn: a few seconds after the sweep was accepted, and not before. */
+    private val withdrawn = minOf(FIRST_WITHDRAWN, points / 2) until minOf(FIRST_WITHDRAWN, points / 2) + maxOf(1, points / 10)
     private val rounds = HashMap<Boolean, MutableList<Long>>()
 
     /** Of what is withdrawn every other point would never end by itself: that it ends is the withdrawal's doing alone. The others race with it. */
@@ -270,6 +272,7 @@
 
         const val MOST_OTHERS = 1000L
         const val MOST_ASKED = 20_000
+        const val FIRST_WITHDRAWN = 40
         val MOST_ACCEPTED = 5.seconds
         val RUNS = 4.seconds
         val ENDLESS = 100_000.seconds
--- a/src/main/kotlin/org/elderhitch/workers/Conversation.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Conversation.kt
@@ -43,6 +43,8 @@
             return ReportAnswer.Accepted(leading.term, emptyList())
         }
         heard(leading, worker, report, now)
+        // It is answered in any case, so its session goes on: the round may give it something in this very answer.
+        worker.answered(now)
         // It may still execute an earlier leader's command; its list counts once it has seen our term. And without the
         // jobs its tasks can't be judged: it is kept, and its next report is.
         val commands = if (report.term == leading.term && tableComplete) {
@@ -53,7 +55,6 @@
         } else {
             emptyList()
         }
-        worker.answered(now)
         return ReportAnswer.Accepted(leading.term, commands)
     }
 
--- a/src/main/kotlin/org/elderhitch/workers/TaskTable.kt
+++ b/src/main/kotlin/org/elderhitch/workers/TaskTable.kt
@@ -98,7 +98,8 @@
         job.placements.remove(placement.task.index, placement)
         val surplus = job.surplus ?: HashMap<Int, MutableList<Placement>>().also { job.surplus = it }
         surplus.getOrPut(placement.task.index) { ArrayList() }.add(placement)
-        stop(job, placement, Duration.ZERO)
+        // One that is saving already is let finish that.
+        if (placement.stop == null) stop(job, placement, Duration.ZERO)
     }
 
     /** The copy that counted is gone: until the others are too, the first of them stands for the task. */
--- /dev/null
+++ b/src/test/kotlin/org/elderhitch/workers/DuplicatesTest.kt
@@ -0,0 +1,103 @@
+package org.elderhitch.workers
+
+import org.elderhitch.http.Address
+import org.elderhitch.jobs.Image
+import org.elderhitch.jobs.JobId
+import org.elderhitch.jobs.JobKind
+import org.elderhitch.jobs.JobSpec
+import org.elderhitch.jobs.MachineType
+import org.elderhitch.jobs.Priority
+import org.elderhitch.jobs.Resources
+import org.elderhitch.jobs.TaskId
+import org.elderhitch.leadership.Term
+import org.elderhitch.settings.TeamName
+import org.elderhitch.settings.Zone
+import org.elderhitch.store.Revision
+import org.elderhitch.time.Moment
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+import kotlin.test.assertSame
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+class DuplicatesTest {
+    private val now = Moment(0) + 1000.seconds
+    private val table = TaskTable({ now })
+    private val reconciler = Reconciler(table, Faults(table), { now }, EventLog({ now }, {}, {}))
+    private val job = JobSpec(
+        JobId("req-1"), "class", TeamName("team"), JobKind.ARRAY, Priority.NORMAL, 6, Resources(5.0, 1.0, 27.0), null, null, false,
+        false, true, Image("img"), 1.0, 40.seconds, Duration.ZERO, Duration.ZERO, null,
+    ).let { JobState(it, Revision(1)) }.also { table.jobs[it.id] = it }
+    private val workers = List(3) { WorkerState(MachineId("m$it"), MachineType("g8"), Zone("a"), false, now).also { w -> table.workers[w.id] = w } }
+    private var sequence = 0L
+
+    private fun task(index: Int) = TaskId(job.id, index)
+
+    private fun says(worker: WorkerState, vararg tasks: TaskReport) = reconciler.apply(
+        worker, Report(worker.id, Address("10.0.0.1:1"), worker.type, worker.zone, false, ReportOrder(1, ++sequence), Term(1), null, tasks.toList()), inReply = false,
+    )
+
+    private fun runs(index: Int, attempt: Long) = TaskReport(task(index), Attempt(attempt), TaskPhase.RUNNING, null)
+
+    private fun exited(index: Int, attempt: Long) = TaskReport(task(index), Attempt(attempt), TaskPhase.EXITED, ExitCause.STOPPED)
+
+    @Test
+    fun `an unsent start is taken back for a task that runs elsewhere`() {
+        table.place(job, task(0), Attempt(9), workers[0], Certainty.ASSIGNED, Moment.FOREVER)
+        says(workers[1], runs(0, 3))
+        assertSame(workers[1], job.placements[0]?.worker)
+        assertTrue(workers[0].placements.isEmpty())
+        assertNull(job.surplus)
+    }
+
+    @Test
+    fun `of two that run the first start stays, in whichever order they report`() {
+        for (later in listOf(false, true)) {
+            val index = if (later) 1 else 0
+            says(workers[if (later) 1 else 0], runs(index, if (later) 8 else 5))
+            says(workers[if (later) 0 else 1], runs(index, if (later) 5 else 8))
+            assertEquals(Attempt(5), job.placements[index]?.attempt)
+            assertNull(job.placements[index]?.stop)
+            assertEquals(Duration.ZERO, workers[1].placements[task(index)]?.stop)
+            assertEquals(2, job.copies, "both use room and quota")
+        }
+    }
+
+    @Test
+    fun `while a copy is left the task is started nowhere`() {
+        says(workers[0], runs(0, 5))
+        says(workers[1], runs(0, 8))
+        says(workers[0], exited(0, 5))
+        assertSame(workers[1], job.placements[0]?.worker, "the copy stands for the task until it is gone")
+        says(workers[1], exited(0, 8))
+        assertTrue(job.placements.isEmpty() && job.surplus == null)
+    }
+
+    /** Whatever machines say in which order: what they say is what the table has, and all of it counts. */
+    @Test
+    fun `any mess is in the table as it is on the machines, and ends`() {
+        for (seed in 1..300) {
+            val random = Random(seed)
+            workers.forEach { table.loseAll(it) }
+            val really = HashMap<Pair<Int, Int>, Long>()
+            var attempt = 100L
+            repeat(40) {
+                val w = random.nextInt(3)
+                val index = random.nextInt(6)
+                if (random.nextInt(3) > 0) really.getOrPut(w to index) { attempt++ } else really.remove(w to index)
+                says(workers[w], *really.filterKeys { it.first == w }.map { (at, a) -> runs(at.second, a) }.toTypedArray())
+                val seen = workers.indices.flatMap { n -> workers[n].placements.values.map { (n to it.task.index) to it.attempt.number } }.toMap()
+                val told = really.filterKeys { (n, _) -> workers[n].tasks.isNotEmpty() || n == w }
+                for ((at, a) in told) if (at.first == w) assertEquals(a, seen[at], "seed $seed: $at")
+                assertEquals(seen.size, job.copies, "seed $seed: all count")
+                assertEquals(seen.keys.map { it.second }.toSet(), job.placements.keys, "seed $seed: one of each stands for its task")
+                for (n in job.placements.keys) assertTrue(job.surplus?.get(n).orEmpty().all { it.stop == Duration.ZERO })
+            }
+            workers.forEach { says(it) }
+            assertTrue(job.placements.isEmpty() && job.surplus == null && job.copies == 0, "seed $seed")
+        }
+    }
+}
