--- a/src/main/kotlin/org/elderhitch/standin/StateStandIn.kt
+++ b/src/main/kotlin/org/elderhitch/standin/StateStandIn.kt
@@ -33,6 +33,9 @@
             field = value
         }
 
+    /** Which requests it refuses, though it is up. */
+    public var refuses: (Request) -> Boolean = { false }
+
     /** Told of each key that is put, when it is. */
     public var onPut: (String) -> Unit = {}
 
@@ -57,7 +60,7 @@
 
     override suspend fun handle(request: Request): Response {
         if (request.path == "/watch") return watch(request)
-        if (down) return HttpServer.refusal(BUSY, "outage")
+        if (down || refuses(request)) return HttpServer.refusal(BUSY, "outage")
         expire()
         return try {
             when {
--- a/src/test/kotlin/org/elderhitch/sweeps/SweepsInVirtualTimeTest.kt
+++ b/src/test/kotlin/org/elderhitch/sweeps/SweepsInVirtualTimeTest.kt
@@ -281,6 +281,11 @@
         until("all run", 120.seconds) { onMachine.size == 60 }
         val leader = assertNotNull(leader())
         crash(leader)
+        // The descriptions can't be read at once: until they can, the new term answers reports and judges none.
+        platform.state.refuses = { it.path.startsWith("/store/v/sweeps/p/") }
+        delay(9.seconds)
+        assertEquals(60, onMachine.size)
+        platform.state.refuses = { false }
         ended()
         assertTrue((0 until 60).all { startsOf["${id.point(it)}/0"] == 1 }, "a point was started again")
     }
