--- a/src/main/kotlin/org/elderhitch/lab/StormLab.kt
+++ b/src/main/kotlin/org/elderhitch/lab/StormLab.kt
@@ -3,7 +3,6 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import org.elderhitch.time.Moment
 import org.slf4j.LoggerFactory
 import kotlin.random.Random
 import kotlin.time.Duration
--- a/src/main/kotlin/org/elderhitch/lab/StormUsers.kt
+++ b/src/main/kotlin/org/elderhitch/lab/StormUsers.kt
@@ -99,7 +99,7 @@
                 }
                 return true
             }
-            if (response != null && response.status in BAD..UNPROCESSABLE && response.status != BUSY) break
+            if (response != null && response.status in BAD..UNPROCESSABLE) break
             delay(1.seconds + random.nextInt(500).milliseconds)
         }
         givenUp++
@@ -150,7 +150,6 @@
         const val BAD = 400
         const val NOT_FOUND = 404
         const val UNPROCESSABLE = 422
-        const val BUSY = 429
         const val SERVICES_PER = 4
         const val ARRAYS_PER = 200.0
         const val MOST_PER_S = 2.0
--- a/src/main/kotlin/org/elderhitch/lab/SweepLab.kt
+++ b/src/main/kotlin/org/elderhitch/lab/SweepLab.kt
@@ -8,16 +8,20 @@
 import org.elderhitch.features.Features
 import org.elderhitch.http.Address
 import org.elderhitch.jobs.ClassRules
+import org.elderhitch.jobs.JobId
 import org.elderhitch.json.Json
-import org.elderhitch.json.JsonObject
 import org.elderhitch.standin.TaskScript
+import org.elderhitch.store.Revision
 import org.elderhitch.sweeps.Description
+import org.elderhitch.sweeps.Manifest
 import org.elderhitch.sweeps.SweepClient
 import org.elderhitch.sweeps.SweepId
+import org.elderhitch.sweeps.SweepState
 import org.elderhitch.sweeps.Sweeps
 import org.elderhitch.sweeps.SweepsSettings
 import org.elderhitch.sweeps.Told
 import org.elderhitch.time.Moment
+import org.elderhitch.time.WallTime
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -63,7 +67,7 @@
                     onRound = { looks -> rounds.getOrPut(sweepOpen) { ArrayList() }.add(looks) },
                 ),
             )
-            world.platform.uploaded = { job -> SweepId.ofPoint(org.elderhitch.jobs.JobId(job))?.let { (_, point) -> TaskScript("array", if (isEndless(point)) ENDLESS else RUNS, CORES, ACCELERATORS) } }
+            world.platform.uploaded = { job -> SweepId.ofPoint(JobId(job))?.let { (_, point) -> TaskScript("array", if (isEndless(point)) ENDLESS else RUNS, CORES, ACCELERATORS) } }
             val count = { key: String ->
                 if ("sweeps/" in key) ofSweep++
                 if ("req-single-" in key) ofSingles++
@@ -133,7 +137,7 @@
             return runtime.totalMemory() - runtime.freeMemory()
         }
         val before = used()
-        val held = List(COPIES) { Description.unpack(description.pack()) to org.elderhitch.sweeps.SweepState(id, org.elderhitch.sweeps.Manifest(points, 1, "", "team", "score", org.elderhitch.time.WallTime(0), emptyMap()), org.elderhitch.store.Revision(1)) }
+        val held = List(COPIES) { Description.unpack(description.pack()) to SweepState(id, Manifest(points, 1, "", "team", "score", WallTime(0), emptyMap()), Revision(1)) }
         val bytes = (used() - before).toDouble() / COPIES / points
         check(held.size == COPIES)
         return Math.rint(bytes * MS) / MS
--- a/src/main/kotlin/org/elderhitch/lab/World.kt
+++ b/src/main/kotlin/org/elderhitch/lab/World.kt
@@ -9,7 +9,6 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import org.elderhitch.app.Controller
 import org.elderhitch.app.Rehearsal
 import org.elderhitch.features.Features
--- a/src/main/kotlin/org/elderhitch/sweeps/Library.kt
+++ b/src/main/kotlin/org/elderhitch/sweeps/Library.kt
@@ -39,35 +39,39 @@
     /** False: it can't be had now. Whether it is [loaded] then is another question: one that is broken is not. */
     suspend fun load(state: SweepState): Boolean {
         if (state.id in held || broken[state.id].let { it != null && wall.now() - it < BROKEN_AGAIN }) return true
-        return when (val read = parts(state.id, state.manifest.parts)) {
-            is Reading.Packed -> described(state, read.bytes)
-            is Reading.Missing -> broken(state, "part ${read.part} is missing")
-            Reading.NotNow -> false
+        return when (val fetched = fetch(state)) {
+            is Fetched.Whole -> true.also { held[state.id] = fetched.description }
+            is Fetched.Broken -> {
+                log.error("sweep description broken sweep={} reason=\"{}\"", state.id, fetched.reason)
+                broken[state.id] = wall.now()
+                true
+            }
+            Fetched.NotNow -> false
         }
     }
 
-    /** Null: it can't be had now, or at all. */
-    suspend fun read(state: SweepState): Description? {
-        val before = held[state.id]
-        if (before != null || !load(state)) return before
-        // Only a leader holds what it has read.
-        return held.remove(state.id)
+    /** Null: it can't be had now, or at all. What is read for an answer is not held: only a leader needs it again, and drops it itself. */
+    suspend fun read(state: SweepState): Description? = held[state.id] ?: (fetch(state) as? Fetched.Whole)?.description
+
+    private sealed interface Fetched {
+        class Whole(val description: Description) : Fetched
+        class Broken(val reason: String) : Fetched
+        data object NotNow : Fetched
     }
 
-    private fun broken(state: SweepState, reason: String): Boolean {
-        log.error("sweep description broken sweep={} reason=\"{}\"", state.id, reason)
-        broken[state.id] = wall.now()
-        return true
+    private suspend fun fetch(state: SweepState): Fetched = when (val read = parts(state.id, state.manifest.parts)) {
+        is Reading.Packed -> described(state, read.bytes)
+        is Reading.Missing -> Fetched.Broken("part ${read.part} is missing")
+        Reading.NotNow -> Fetched.NotNow
     }
 
-    private fun described(state: SweepState, packed: ByteArray): Boolean {
-        if (Description.sum(packed) != state.manifest.sum) return broken(state, "its checksum is another")
-        try {
-            held[state.id] = Description.unpack(packed)
+    private fun described(state: SweepState, packed: ByteArray): Fetched {
+        if (Description.sum(packed) != state.manifest.sum) return Fetched.Broken("its checksum is another")
+        return try {
+            Fetched.Whole(Description.unpack(packed))
         } catch (e: BadTemplate) {
-            return broken(state, e.message.orEmpty())
+            Fetched.Broken(e.message.orEmpty())
         }
-        return true
     }
 
     suspend fun parts(id: SweepId, count: Int): Reading {
--- a/src/main/kotlin/org/elderhitch/workers/Conversation.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Conversation.kt
@@ -4,7 +4,6 @@
 import org.elderhitch.jobs.Image
 import org.elderhitch.leadership.LeadershipMessage
 import org.elderhitch.leadership.Tenure
-import org.elderhitch.leadership.Term
 import org.elderhitch.settings.WorkerTimes
 import org.elderhitch.time.Moment
 import kotlin.time.Duration.Companion.seconds
--- a/src/main/kotlin/org/elderhitch/workers/Foreman.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Foreman.kt
@@ -13,7 +13,6 @@
 import org.elderhitch.jobs.JobEvent
 import org.elderhitch.jobs.JobId
 import org.elderhitch.jobs.TaskId
-import org.elderhitch.leadership.LeadershipMessage
 import org.elderhitch.leadership.Tenure
 import org.elderhitch.leadership.TenureTimes
 import org.elderhitch.leadership.Term
