--- /dev/null
+++ b/src/main/kotlin/org/elderhitch/lab/RuleBook.kt
@@ -0,0 +1,175 @@
+package org.elderhitch.lab
+
+import org.elderhitch.standin.StandInMachine
+import org.elderhitch.standin.TaskWatch
+import org.elderhitch.time.Moment
+import org.elderhitch.time.SteadyClock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** What the rules ask of a job, as its user knows it. */
+internal class JobFacts(
+    val id: String,
+    val team: String,
+    val tasks: Int,
+    val accelerators: Double,
+    val spotAllowed: Boolean,
+    val zone: String? = null,
+    val oneZone: Boolean = false,
+    /** Its tasks complete together: one that is done speaks for all. */
+    val gang: Boolean = false,
+)
+
+/**
+ * Watches over the rules of PROTOCOL ("Rules"), from what happens on machines and what users are told. A task counts as on its machine
+ * from its start on, image or not: stricter than the bench.
+ */
+internal class RuleBook(
+    private val clock: SteadyClock,
+    private val cancel: Duration,
+    private val limits: Map<String, Double>,
+    private val machineOf: (String) -> StandInMachine?,
+) : TaskWatch {
+    private class History(val facts: JobFacts) {
+        var accepted: Moment? = null
+        var asked: Moment? = null
+        var withdrawn: Moment? = null
+        var final: Pair<String, Moment>? = null
+        val completed = HashSet<Int>()
+        val zones = HashMap<String, Int>()
+        var failingSince: Moment? = null
+    }
+
+    private val jobs = HashMap<String, History>()
+    private val where = HashMap<String, MutableSet<String>>()
+    private val used = HashMap<String, Double>()
+    private val answeredPolls = ArrayDeque<Pair<Moment, Boolean>>()
+    private var starts = 0L
+
+    /** Broken rules: name and what happened, in order. */
+    val broken = ArrayList<Pair<String, String>>()
+
+    private fun broke(rule: String, what: String) {
+        broken.add(rule to "at ${(clock.now() - Moment(0)).inWholeMilliseconds} ms: $what")
+    }
+
+    private fun historyOf(task: String): History? = jobs[task.substringBeforeLast('/')]
+
+    // ---- machines ----------------------------------------------------------------------------------------------
+
+    override fun started(task: String, machine: String) {
+        starts++
+        val there = where.getOrPut(task) { LinkedHashSet() }
+        if (there.isNotEmpty()) broke("ran_twice", "$task runs on ${there.first()} and is started on $machine")
+        there.add(machine)
+        val job = historyOf(task) ?: return
+        val host = machineOf(machine)
+        val facts = job.facts
+        if (host != null) {
+            val elsewhere = facts.oneZone && job.zones.any { (zone, count) -> zone != host.zone && count > 0 }
+            if (host.spot && !facts.spotAllowed || facts.zone.let { it != null && it != host.zone } || elsewhere) broke("wrong_place", "$task on $machine in ${host.zone}, spot ${host.spot}")
+            job.zones.merge(host.zone, 1, Int::plus)
+        }
+        val inUse = used.merge(facts.team, facts.accelerators, Double::plus) ?: 0.0
+        if (limits[facts.team].let { it != null && inUse > it + SLACK }) broke("quota", "${facts.team} uses $inUse after the start of $task")
+        job.withdrawn?.let { if (clock.now() - it > cancel) broke("ran_cancelled", "$task starts on $machine") }
+    }
+
+    override fun ended(task: String, machine: String) {
+        if (where[task]?.remove(machine) != true) return
+        val job = historyOf(task) ?: return
+        used.merge(job.facts.team, -job.facts.accelerators, Double::plus)
+        machineOf(machine)?.let { job.zones.merge(it.zone, -1, Int::plus) }
+    }
+
+    override fun completed(task: String) {
+        historyOf(task)?.completed?.add(task.substringAfterLast('/').toInt())
+    }
+
+    /** Called now and then, for rules that time breaks. */
+    fun tick() {
+        val now = clock.now()
+        for (job in jobs.values) {
+            val told = job.withdrawn ?: continue
+            if (now - told <= cancel || job.zones.values.all { it <= 0 }) continue
+            broke("ran_cancelled", "${job.facts.id} is on a machine ${now - told} after its withdrawal")
+            job.withdrawn = Moment.FOREVER
+        }
+    }
+
+    // ---- users -------------------------------------------------------------------------------------------------
+
+    fun submits(facts: JobFacts) {
+        jobs.getOrPut(facts.id) { History(facts) }
+    }
+
+    /** An answer to a submission or its repetition, asked at [asked]. */
+    fun submitted(id: String, status: Int, word: String?, asked: Moment) {
+        val job = jobs.getValue(id)
+        if (status in OK..CREATED) {
+            job.accepted = job.accepted ?: clock.now()
+            if (word != null) told(id, status, word, asked)
+        } else if ((status == BAD || status == UNPROCESSABLE) && job.accepted.let { it != null && it < asked }) {
+            broke("forgotten", "the repeated submission of $id got $status")
+        }
+    }
+
+    fun asksToWithdraw(id: String) {
+        val job = jobs.getValue(id)
+        job.asked = job.asked ?: clock.now()
+    }
+
+    /** An answer to a poll or a withdrawal, asked at [asked]; [word]: null unless the status is 200. */
+    fun told(id: String, status: Int, word: String?, asked: Moment) {
+        val job = jobs[id]
+        if (job == null) {
+            if (status == OK) broke("invented", "$id, which nobody submitted, is $word")
+            return
+        }
+        if (status == NOT_FOUND && job.accepted.let { it != null && it < asked }) broke("forgotten", "$id got 404")
+        if (status != OK && status != CREATED || word == null) return
+        val final = job.final
+        if (final != null && final.second < asked && final.first != word) broke("went_back", "$id was ${final.first} and is $word")
+        if (word == "withdrawn" && job.asked == null) broke("went_back", "$id is withdrawn, and its user did not ask")
+        if (word == "done" && job.completed.size < if (job.facts.gang) 1 else job.facts.tasks) broke("not_done", "$id is done with ${job.completed.size} of ${job.facts.tasks} tasks completed")
+        if (word == "withdrawn" && job.withdrawn == null) job.withdrawn = clock.now()
+        if (final == null && (word == "done" || word == "withdrawn")) job.final = word to clock.now()
+    }
+
+    /** Whether a poll for an accepted job was answered at all. */
+    fun polled(id: String, answered: Boolean) {
+        val now = clock.now()
+        answeredPolls.addLast(now to answered)
+        while (answeredPolls.first().first < now - LONG) answeredPolls.removeFirst()
+        val job = jobs.getValue(id)
+        if (answered || job.accepted == null) {
+            job.failingSince = null
+            return
+        }
+        val since = job.failingSince ?: now.also { job.failingSince = it }
+        if (now - since < LONG || answeredPolls.count { it.second } * 2 < answeredPolls.size) return
+        broke("forgotten", "every poll for $id failed for ${now - since}")
+        job.failingSince = null
+    }
+
+    /** How a job stands by what its user was last told for good; null: it is open. */
+    fun finalOf(id: String): String? = jobs[id]?.final?.first
+
+    fun completedOf(id: String): Int = jobs[id]?.completed?.size ?: 0
+
+    fun isOn(task: String): Boolean = where[task].orEmpty().isNotEmpty()
+
+    fun end() {
+        if (starts == 0L) broke("nothing_ran", "no task was started")
+    }
+
+    private companion object {
+        const val OK = 200
+        const val CREATED = 201
+        const val BAD = 400
+        const val NOT_FOUND = 404
+        const val UNPROCESSABLE = 422
+        const val SLACK = 1e-6
+        val LONG = 90.seconds
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/elderhitch/lab/Storm.kt
@@ -0,0 +1,160 @@
+package org.elderhitch.lab
+
+import org.elderhitch.json.Json
+import org.elderhitch.json.JsonObject
+import org.elderhitch.json.MalformedJson
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** The kinds of trouble a storm is made of, by the words of its schedule files. */
+internal enum class Kind(val word: String) {
+    /** A share of the machines stands still. */
+    HANG("machines_hang"),
+    DIE("machines_die"),
+
+    /** Machines rented meanwhile boot as many times slower. */
+    SLOW_BOOT("slow_boot"),
+
+    /** A share of the spot machines goes at once. */
+    SPOT("spot_taken"),
+    ZONE("zone_cut"),
+    CRASH("node_crash"),
+    CRASH_ALL("all_crash"),
+    ROLL("roll"),
+    FREEZE("node_freeze"),
+
+    /** A node loses all hosts, or only those that [Trouble.from] names. */
+    CUT("node_cut"),
+    REFUSED("state_refuses"),
+    OUTAGE("state_outage"),
+    CLOUD("cloud_outage"),
+    LATE_COMMITS("late_commits"),
+    LATE_REPORTS("late_reports"),
+    LATE_COMMANDS("late_commands"),
+    PEERS("peers_refuse"),
+    BURST("burst"),
+}
+
+/** One trouble of a schedule. [share]: of machines, or of messages; times count from the schedule's start. */
+internal data class Trouble(
+    val kind: Kind,
+    val at: Duration,
+    val lasts: Duration = Duration.ZERO,
+    val share: Double = 0.0,
+    /** Zone or node by its number; of nodes, -1 is the one that leads when it comes. */
+    val target: Int = 0,
+    val from: String = "all",
+    val mode: CutMode = CutMode.HOLD,
+) {
+    fun encode(): Map<String, Any?> = linkedMapOf(
+        "kind" to kind.word, "at_ms" to at.inWholeMilliseconds, "lasts_ms" to lasts.inWholeMilliseconds, "share" to share, "target" to target,
+        "from" to from, "mode" to mode.name.lowercase(),
+    )
+
+    companion object {
+        const val LEADER = -1
+        val LOST = listOf("all", "state", "workers", "peers")
+
+        /** Throws [MalformedJson] with the field's name. */
+        fun decode(from: JsonObject): Trouble {
+            val kind = from.string("kind").let { word -> Kind.entries.firstOrNull { it.word == word } ?: throw MalformedJson("kind: $word is unknown") }
+            val lost = from.stringOrNull("from") ?: "all"
+            if (lost !in LOST) throw MalformedJson("from: $lost is none of $LOST")
+            val mode = from.stringOrNull("mode")?.let { word -> CutMode.entries.firstOrNull { it.name.lowercase() == word } ?: throw MalformedJson("mode: $word is unknown") }
+            val target = from.raw("target") as? Long ?: 0
+            if (target !in LEADER..MOST_TARGETS) throw MalformedJson("target: $target is out of range")
+            return Trouble(
+                kind, from.count("at_ms").milliseconds, (from.longOrNull("lasts_ms") ?: 0).milliseconds, from.amountOrNull("share") ?: 0.0,
+                target.toInt(), lost, mode ?: CutMode.HOLD,
+            )
+        }
+
+        private const val MOST_TARGETS = 8
+    }
+}
+
+/** A world's size and seed, and its troubles: all that a storm depends on. */
+internal data class Schedule(val seed: Long, val machines: Int, val span: Duration, val troubles: List<Trouble>) {
+    fun encode(): String = Json.text(
+        linkedMapOf("seed" to seed, "machines" to machines, "span_s" to span.inWholeSeconds, "troubles" to troubles.map { it.encode() }),
+    )
+
+    companion object {
+        const val ZONES = 3
+        const val NODES = 3
+
+        fun decode(text: ByteArray): Schedule {
+            val body = Json.parseObject(text)
+            return Schedule(body.count("seed"), body.count("machines").toInt(), body.count("span_s").toInt().seconds, body.objects("troubles").map(Trouble::decode))
+        }
+
+        /** Overlapping troubles of all kinds; as likely longer than a lease as shorter. Each schedule prefers some kinds to others. */
+        fun draw(seed: Long, machines: Int, span: Duration, lease: Duration): Schedule {
+            val random = Random(seed)
+            val favoured = Kind.entries.shuffled(random).take(FAVOURED)
+            val troubles = List(random.nextInt(LEAST, MOST)) {
+                val kind = if (random.nextBoolean()) favoured.random(random) else Kind.entries.random(random)
+                trouble(kind, span * random.nextDouble(), lease, random)
+            }
+            return Schedule(seed, machines, span, troubles.sortedBy { it.at })
+        }
+
+        private fun trouble(kind: Kind, at: Duration, lease: Duration, random: Random): Trouble {
+            val aroundLease = lease * (0.3 + random.nextDouble() * 1.7)
+            val node = if (random.nextBoolean()) Trouble.LEADER else random.nextInt(NODES)
+            val mode = CutMode.entries.random(random)
+            val short = (1 + random.nextDouble() * 11).seconds
+            return when (kind) {
+                Kind.HANG -> Trouble(kind, at, aroundLease, 0.05 + random.nextDouble() * 0.5)
+                Kind.DIE -> Trouble(kind, at, share = 0.02 + random.nextDouble() * 0.3)
+                Kind.SPOT -> Trouble(kind, at, share = 0.3 + random.nextDouble() * 0.7)
+                Kind.SLOW_BOOT -> Trouble(kind, at, aroundLease * 2, share = 2 + random.nextDouble() * 4)
+                Kind.ZONE -> Trouble(kind, at, aroundLease, target = random.nextInt(ZONES), mode = mode)
+                Kind.CRASH, Kind.CRASH_ALL -> Trouble(kind, at, short, target = node)
+                Kind.ROLL -> Trouble(kind, at, (4 + random.nextInt(12)).seconds)
+                Kind.FREEZE -> Trouble(kind, at, aroundLease * random.nextDouble(), target = node)
+                Kind.CUT -> Trouble(kind, at, aroundLease, target = node, from = Trouble.LOST.random(random), mode = mode)
+                Kind.REFUSED -> Trouble(kind, at, aroundLease, target = node)
+                Kind.OUTAGE, Kind.CLOUD, Kind.PEERS -> Trouble(kind, at, aroundLease)
+                Kind.LATE_COMMITS, Kind.LATE_REPORTS, Kind.LATE_COMMANDS -> Trouble(kind, at, aroundLease * 2, share = 0.05 + random.nextDouble() * 0.3)
+                Kind.BURST -> Trouble(kind, at, share = 0.05 + random.nextDouble() * 0.25)
+            }
+        }
+
+        private const val FAVOURED = 4
+        private const val LEAST = 3
+        private const val MOST = 14
+    }
+}
+
+/** Makes a failing schedule smaller for as long as it still fails: without troubles, then with shorter ones. */
+internal object Shrink {
+    fun smallest(failing: Schedule, tries: Int, fails: (Schedule) -> Boolean): Schedule {
+        var best = failing
+        var left = tries
+        fun attempt(candidate: Schedule): Boolean {
+            if (left-- <= 0 || !fails(candidate)) return false
+            best = candidate
+            return true
+        }
+        var part = maxOf(1, best.troubles.size / 2)
+        while (part >= 1 && left > 0) {
+            var at = 0
+            while (at < best.troubles.size && left > 0) {
+                val without = best.troubles.filterIndexed { n, _ -> n !in at until at + part }
+                if (!attempt(best.copy(troubles = without))) at += part
+            }
+            part /= 2
+        }
+        for (n in best.troubles.indices) {
+            while (left > 0) {
+                val t = best.troubles[n]
+                val halved = t.copy(lasts = (t.lasts / 2).inWholeMilliseconds.milliseconds)
+                if (t.lasts < 2.seconds || !attempt(best.copy(troubles = best.troubles.toMutableList().also { it[n] = halved }))) break
+            }
+        }
+        return best
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/elderhitch/lab/StormUsers.kt
@@ -0,0 +1,165 @@
+package org.elderhitch.lab
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.elderhitch.app.Rehearsal
+import org.elderhitch.http.Address
+import org.elderhitch.http.Response
+import org.elderhitch.json.Json
+import org.elderhitch.time.Moment
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * The users of a storm: services that stay, arrays and gangs that come and go. They submit, repeat, poll and withdraw as PROTOCOL has it, at
+ * whichever node, and every answer goes into the rule book.
+ */
+internal class StormUsers(private val world: World, private val rules: RuleBook, private val machines: Int, private val random: Random) {
+    /** Jobs whose submission was answered, by kind. */
+    val services = ArrayList<JobFacts>()
+    val batches = ArrayList<JobFacts>()
+    private val withdrawing = HashSet<String>()
+    private val line = world.network.transport("user")
+    private var next = 1
+
+    /** How long submissions took that were answered, and how many never were. */
+    val waited = ArrayList<Duration>()
+    var givenUp = 0
+        private set
+
+    fun begin(scope: CoroutineScope, until: Moment) {
+        repeat(machines / SERVICES_PER) { scope.launch { service(scope) } }
+        val perSecond = minOf(MOST_PER_S, machines / ARRAYS_PER)
+        scope.launch {
+            while (world.clock.now() < until) {
+                scope.launch { if (random.nextInt(GANG_EVERY) == 0) gang(scope) else array(scope, perSecond) }
+                if (random.nextInt(STRANGER_EVERY) == 0) scope.launch { stranger() }
+                delay((random.nextDouble() * 2 / perSecond).seconds)
+            }
+        }
+    }
+
+    /** Many arrays at once. */
+    fun burst(scope: CoroutineScope, share: Double) {
+        repeat((machines * share / 2).toInt() + 1) { scope.launch { array(scope, MOST_PER_S) } }
+    }
+
+    private fun id(): String = "req-%06d".format(next++)
+
+    private suspend fun service(scope: CoroutineScope) {
+        val facts = JobFacts(id(), "team", 2 + random.nextInt(3), 1.0, spotAllowed = false)
+        val body = mapOf("cores" to 4.0, "urgency" to "production", "spread" to true, "borrowedRigs" to false, "pullGb" to 4.0, "catchImage" to "img-s${random.nextInt(6)}")
+        if (!submit(facts, "daemon", 0.0, body)) return
+        services.add(facts)
+        follow(scope, facts, if (random.nextInt(8) == 0) (20 + random.nextInt(200)).seconds else null)
+    }
+
+    private suspend fun array(scope: CoroutineScope, perSecond: Double) {
+        val usual = (machines / ARRAYS_PER / perSecond * USUAL_TASKS).toInt()
+        val facts = JobFacts(id(), "team", 1 + random.nextInt(usual * 2), 1.0, spotAllowed = true)
+        val body = mapOf("cores" to 5.0, "urgency" to "idle", "tallyS" to 15.0, "stowS" to 1.0, "pullGb" to 2.0, "catchImage" to "img-a${random.nextInt(10)}")
+        if (!submit(facts, "array", 5.0 + random.nextInt(35), body)) return
+        batches.add(facts)
+        follow(scope, facts, if (random.nextInt(12) == 0) random.nextInt(30).seconds else null)
+    }
+
+    private suspend fun gang(scope: CoroutineScope) {
+        val facts = JobFacts(id(), "few", 1 + random.nextInt(3), 8.0, spotAllowed = false, oneZone = true, gang = true)
+        val body = mapOf("cores" to 43.0, "accelerators" to 8.0, "urgency" to "urgent", "samePlace" to true, "borrowedRigs" to false, "desk" to "few", "pullGb" to 3.0)
+        if (!submit(facts, "gang", 10.0 + random.nextInt(20), body)) return
+        batches.add(facts)
+        follow(scope, facts, if (random.nextInt(12) == 0) random.nextInt(30).seconds else null)
+    }
+
+    /** Somebody asks about a job that nobody submitted. */
+    private suspend fun stranger() {
+        val id = "req-none-${random.nextInt(100)}"
+        val asked = world.clock.now()
+        val response = request("GET", "/work/$id", null, POLL_PATIENCE) ?: return
+        rules.told(id, response.status, word(response), asked)
+    }
+
+    private suspend fun submit(facts: JobFacts, kind: String, runs: Double, extra: Map<String, Any?>): Boolean {
+        rules.submits(facts)
+        val body = Json.bytes(Rehearsal.exampleJob(facts.id, kind) + mapOf("crates" to facts.tasks, "haulS" to runs) + extra)
+        val began = world.clock.now()
+        while (world.clock.now() - began < SUBMIT_PATIENCE) {
+            val asked = world.clock.now()
+            val response = request("POST", "/work", body, SUBMIT_TIMEOUT)
+            if (response != null) rules.submitted(facts.id, response.status, word(response), asked)
+            if (response?.status in OK..CREATED) {
+                waited.add(world.clock.now() - began)
+                if (random.nextInt(REPEAT_EVERY) == 0) {
+                    delay(random.nextInt(40).seconds)
+                    val again = world.clock.now()
+                    request("POST", "/work", body, SUBMIT_TIMEOUT)?.let { rules.submitted(facts.id, it.status, word(it), again) }
+                }
+                return true
+            }
+            if (response != null && response.status in BAD..UNPROCESSABLE && response.status != BUSY) break
+            delay(1.seconds + random.nextInt(500).milliseconds)
+        }
+        givenUp++
+        return false
+    }
+
+    private fun follow(scope: CoroutineScope, facts: JobFacts, withdrawAfter: Duration?) {
+        scope.launch {
+            while (rules.finalOf(facts.id) == null) {
+                delay(5.seconds + random.nextInt(1000).milliseconds)
+                val asked = world.clock.now()
+                val response = request("GET", "/work/${facts.id}", null, POLL_PATIENCE)
+                val answered = response != null && (response.status == OK || response.status == NOT_FOUND)
+                if (response != null && answered) rules.told(facts.id, response.status, word(response), asked)
+                rules.polled(facts.id, answered)
+            }
+        }
+        if (withdrawAfter == null) return
+        scope.launch {
+            delay(withdrawAfter)
+            withdrawing.add(facts.id)
+            rules.asksToWithdraw(facts.id)
+            while (rules.finalOf(facts.id) == null) {
+                val asked = world.clock.now()
+                val response = request("POST", "/work/${facts.id}/withdraw", ByteArray(0), SUBMIT_TIMEOUT)
+                if (response != null) rules.told(facts.id, response.status, word(response), asked)
+                delay(1.seconds)
+            }
+        }
+    }
+
+    fun isWithdrawing(id: String): Boolean = id in withdrawing
+
+    private suspend fun request(method: String, path: String, body: ByteArray?, timeout: Duration): Response? {
+        for (node in world.names.shuffled(random)) {
+            // What refuses a connection is passed over at once; what takes it and says nothing is waited for.
+            if (!world.isUp(node)) continue
+            return line.call(Address("$node:80"), method, path, body, timeout)
+        }
+        return null
+    }
+
+    private fun word(response: Response): String? = if (response.status in OK..CREATED) Json.parseObject(response.body).stringOrNull("standing") else null
+
+    private companion object {
+        const val OK = 200
+        const val CREATED = 201
+        const val BAD = 400
+        const val NOT_FOUND = 404
+        const val UNPROCESSABLE = 422
+        const val BUSY = 429
+        const val SERVICES_PER = 4
+        const val ARRAYS_PER = 200.0
+        const val MOST_PER_S = 2.0
+        const val USUAL_TASKS = 40
+        const val GANG_EVERY = 6
+        const val STRANGER_EVERY = 10
+        const val REPEAT_EVERY = 12
+        val SUBMIT_PATIENCE = 60.seconds
+        val SUBMIT_TIMEOUT = 5.seconds
+        val POLL_PATIENCE = 2.seconds
+    }
+}
--- a/src/main/kotlin/org/elderhitch/lab/World.kt
+++ b/src/main/kotlin/org/elderhitch/lab/World.kt
@@ -20,6 +20,7 @@
 import org.elderhitch.jobs.TaskId
 import org.elderhitch.json.Json
 import org.elderhitch.settings.Settings
+import org.elderhitch.standin.StandInMachine
 import org.elderhitch.standin.StandInPlatform
 import org.elderhitch.standin.TaskWatch
 import org.elderhitch.time.Moment
@@ -51,6 +52,8 @@
     val fetchRate: Double? = null,
     /** What a node's work costs it; null: nothing. */
     val costs: CostModel? = null,
+    /** Teams besides `team`, and how many accelerators they may use. */
+    val otherTeams: Map<String, Double> = emptyMap(),
 )
 
 /** Three controllers against the stand-ins, over a network that can be cut, in virtual time. */
@@ -70,7 +73,7 @@
     var slowAnswers: () -> Duration by network::slowAnswers
     private val standstills = HashMap<String, Standstill>()
     private val controllers = HashMap<String, Controller>()
-    private val zoneOfMachine = HashMap<String, String>()
+    private val everSeen = HashMap<String, StandInMachine>()
     val names = listOf("n0", "n1", "n2")
     val platform: StandInPlatform
     val onMachine = HashMap<String, String>()
@@ -89,7 +92,7 @@
     init {
         val nodes = names.associateWith { Address("$it:80") }
         platform = StandInPlatform(
-            outside, clock, { zoneOfMachine[it.id] = it.zone
+            outside, clock, { everSeen[it.id] = it
                 network.transport("workers", it.id) }, nodes, settings("n0").workers, random, made.zones, made.machinesPerZone, made.boot, this,
             addressOf = { "${it.id}:9000" }, made.fetchRate,
         )
@@ -195,8 +198,18 @@
 
     fun assertRulesKept() = check(broken.isEmpty()) { broken.joinToString("; ") }
 
+    val zones: List<String> get() = made.zones
+
+    /** How many accelerators each team may use. */
+    val limits: Map<String, Double> get() = mapOf("team" to made.mostGpus) + made.otherTeams
+
+    fun isUp(node: String): Boolean = node in controllers
+
+    /** A machine that is there or was. */
+    fun machine(id: String): StandInMachine? = everSeen[id]
+
     /** Null: a host of no zone. */
-    fun zoneOf(host: String): String? = names.indexOf(host).takeIf { it >= 0 }?.let(made.nodeZones::get) ?: zoneOfMachine[host]
+    fun zoneOf(host: String): String? = names.indexOf(host).takeIf { it >= 0 }?.let(made.nodeZones::get) ?: everSeen[host]?.zone
 
     private fun settings(name: String): Settings = Settings.parse(
         Json.bytes(
@@ -207,7 +220,7 @@
                 "external" to mapOf("cloud" to "cloud:1", "state" to "state:1"),
                 "settings" to linkedMapOf(
                     "zones" to made.zones,
-                    "teams" to listOf(mapOf("name" to "team", "gpus_max" to made.mostGpus)),
+                    "teams" to limits.map { (name, gpus) -> mapOf("name" to name, "gpus_max" to gpus) },
                     "workers" to mapOf("report_s" to made.reportS, "lease_s" to made.leaseS, "gang_wait_s" to 30.0, "gang_peer_s" to 5.0, "cancel_s" to made.leaseS + 30),
                     "state" to mapOf("rps" to made.requestsPerS, "write_rps" to made.writesPerS, "value_kb" to 8.0, "txn_ops" to 8),
                     "cloud" to mapOf("rps" to 10.0, "list_lag_s" to 1.0),
