--- a/src/main/kotlin/org/elderhitch/app/Controller.kt
+++ b/src/main/kotlin/org/elderhitch/app/Controller.kt
@@ -62,6 +62,8 @@
     private val bound: Footprint = Footprint.bound(Runtime.getRuntime().maxMemory()),
     /** Told after each placement round how many looks at machines and candidates it took. */
     onRound: (looks: Long) -> Unit = {},
+    /** Something recorded needs a feature that is off here: serving on would tell users falsely. */
+    onUnserved: (reason: String) -> Unit = { error(it) },
 ) {
     private val incarnation = Incarnation(random.nextLong().toULong().toString(RADIX))
     private val times = TenureTimes.of(settings.workers)
@@ -84,19 +86,19 @@
         settings.stateLimits.valueBytes, ::entitled, { renter }, { foreman.tell(it) },
     )
     private val foreman: Foreman =
-        Foreman(scope, times, settings.workers, settings.teams, settings.objectives, settings.nodeZones, clock, wiring, wall, features.rules, onRound)
+        Foreman(scope, times, settings.workers, settings.teams, settings.objectives, settings.nodeZones, clock, wiring, wall, features.rules, onRound) { featureSet().keeper(it)?.open(it) }
     private val renter: Renter = Renter(scope, cloud, client, policy, settings.instantClasses, settings.cloudLimits.listLag, clock, fleetPorts())
     private val catalog: CatalogKeeper = CatalogKeeper(scope, cloud, client, settings.stateLimits.valueBytes, ::catalogIs)
-    private val feed: Feed = Feed(scope, client, clock, FeedFan(book, renter, catalog, foreman, leadership, ::featureSet))
+    private val feed: Feed = Feed(scope, client, clock, FeedFan(book, renter, catalog, foreman, leadership, ::featureSet, onUnserved))
     private val leaderDesk: LeaderDesk = LeaderDesk(foreman, { leadership.tenure.value }) { leader, path, body, timeout -> cluster.atLeader(leader, path, body, timeout) }
     private val desk = JobDesk(
         book, feed, client, settings.teams, { catalog.canEverRun(it) }, settings.stateLimits.valueBytes, wall,
-        { leaderDesk.account(it.id) }, features.rules, Admission(bound) { cluster.leastBound() },
+        { leaderDesk.account(it.id) }, features.rules, Admission(bound) { cluster.leastBound() }, { featureSet().keeper(it) },
     )
     private val cluster: Cluster = Cluster(scope, settings.node, incarnation, settings.peers, transport, clock, clusterPorts())
     private val features: FeatureSet = FeatureSet(
         features.factories.map {
-            it.make(FeatureContext(scope, settings, clock, wall, random, client, desk, meters, feed::sync, { leadership.tenure.value }, leaderDesk::hold))
+            it.make(FeatureContext(scope, settings, clock, wall, random, client, desk, meters, feed::sync, { leadership.tenure.value }, leaderDesk::hold, ::jobEvent, { id: JobId -> wiring.running[id] ?: 0 }))
         },
     )
     private val edge: Edge = Edge(desk, foreman, cluster, ::reachesState, { feed.loaded }, meters, this.features, leaderDesk, ::status)
@@ -150,7 +152,7 @@
     private fun complete(leading: Tenure.Leading) {
         if (leading.former?.node == settings.node) foreman.tell(ForemanMessage.FormerStopped(leading.term))
         scope.launch {
-            while (!feed.sync()) {
+            while (!feed.sync() || !featureSet().prepare()) {
                 delay(SYNC_RETRY)
                 if ((leadership.tenure.value as? Tenure.Leading)?.term != leading.term) return@launch
             }
--- a/src/main/kotlin/org/elderhitch/app/Daemon.kt
+++ b/src/main/kotlin/org/elderhitch/app/Daemon.kt
@@ -66,7 +66,10 @@
         val scope = scope(loop)
         val group = channelGroup(loop)
         val client = HttpClient(group, SystemSteadyClock)
-        val controller = Controller(scope, settings, policy, client, SystemSteadyClock, SystemWallClock, SecureRandom().asKotlinRandom(), features)
+        val controller = Controller(scope, settings, policy, client, SystemSteadyClock, SystemWallClock, SecureRandom().asKotlinRandom(), features) { reason ->
+            System.err.println("elderhitch: $reason")
+            exitProcess(EXIT_SETTINGS)
+        }
         val server = HttpServer(group, scope, SystemSteadyClock, (settings.maxSockets - OUTGOING_SOCKETS).coerceAtLeast(OUTGOING_SOCKETS))
         scope.launch {
             try {
--- a/src/main/kotlin/org/elderhitch/app/FeedFan.kt
+++ b/src/main/kotlin/org/elderhitch/app/FeedFan.kt
@@ -25,8 +25,10 @@
     private val foreman: Foreman,
     private val leadership: Leadership,
     private val features: () -> FeatureSet,
+    private val onUnserved: (String) -> Unit,
 ) : FeedListener {
     override fun snapshot(entries: List<Entry>, revision: Revision) {
+        features().unserved(entries)?.let(onUnserved)
         book.tell(JobMessage.Snapshot(entries))
         renter.tell(FleetMessage.Snapshot(entries))
         features().snapshot(entries)
@@ -37,6 +39,7 @@
 
     override fun changed(changes: List<Change>, revision: Revision) {
         if (changes.isEmpty()) return
+        features().unserved(changes.mapNotNull { (it as? Change.Put)?.entry })?.let(onUnserved)
         book.tell(JobMessage.Changed(changes))
         renter.tell(FleetMessage.Changed(changes))
         features().changed(changes)
--- a/src/main/kotlin/org/elderhitch/app/ForemanWiring.kt
+++ b/src/main/kotlin/org/elderhitch/app/ForemanWiring.kt
@@ -60,9 +60,13 @@
 
     override fun record(tenure: Tenure.Leading, finished: List<FinishedBatch>) {
         scope.launch {
-            val recorded = recorder.record(tenure, finished)
-            if (recorded == null) leadership.tell(LeadershipMessage.TermSeen(Term(tenure.term.number + 1)))
-            tell(ForemanMessage.Recorded(tenure.term, recorded.orEmpty()))
+            val recorded = recorder.record(tenure, finished.filter { !it.kept })
+            var kept: Map<JobId, List<Int>>? = emptyMap()
+            for ((keeper, jobs) in finished.filter { it.kept }.groupBy { features().keeper(it.job) }) {
+                kept = kept?.let { before -> keeper?.record(tenure, jobs)?.let { before + it } }
+            }
+            if (recorded == null || kept == null) leadership.tell(LeadershipMessage.TermSeen(Term(tenure.term.number + 1)))
+            tell(ForemanMessage.Recorded(tenure.term, recorded.orEmpty() + kept.orEmpty()))
         }
     }
 
--- a/src/main/kotlin/org/elderhitch/app/Main.kt
+++ b/src/main/kotlin/org/elderhitch/app/Main.kt
@@ -7,6 +7,8 @@
 import com.github.ajalt.clikt.parameters.options.versionOption
 import org.elderhitch.drmaa.DrmaaCommand
 import org.elderhitch.lab.LabCommand
+import org.elderhitch.sweeps.SweepCommand
+import org.elderhitch.sweeps.TemplateCommand
 
 private class Elderhitch : CoreCliktCommand(name = "elderhitch") {
     init {
@@ -24,6 +26,6 @@
     val words = if (args.firstOrNull() == "--config") arrayOf("serve", *args) else args
     val commands = listOf(Serve(), Submit(), Show(), Withdraw(), Explain(), Release(), Status(), StandIns(), Rehearse())
     // The daemon starts on a small share of a core: it loads nothing of what others may do.
-    val others = if (words.firstOrNull() == "serve") emptyList() else listOf(DrmaaCommand(), LabCommand())
+    val others = if (words.firstOrNull() == "serve") emptyList() else listOf(DrmaaCommand(), TemplateCommand(), SweepCommand(), LabCommand())
     Elderhitch().subcommands(commands + others).main(words)
 }
--- a/src/main/kotlin/org/elderhitch/features/Feature.kt
+++ b/src/main/kotlin/org/elderhitch/features/Feature.kt
@@ -6,7 +6,9 @@
 import org.elderhitch.http.Response
 import org.elderhitch.jobs.HoldKind
 import org.elderhitch.jobs.JobDesk
+import org.elderhitch.jobs.JobEvent
 import org.elderhitch.jobs.JobId
+import org.elderhitch.jobs.JobKeeper
 import org.elderhitch.leadership.Tenure
 import org.elderhitch.settings.Settings
 import org.elderhitch.store.Change
@@ -46,6 +48,12 @@
     /** What it has to say of a job that was asked about; null: nothing. The core's own reasons come after. */
     public suspend fun explain(job: JobId): List<String>? = null
 
+    /** Keeps jobs of its own; null: none. */
+    public val keeper: JobKeeper? get() = null
+
+    /** Reads what must be known here before a term acts; false: it can't be had now. Asked again until it is true. */
+    public suspend fun prepare(): Boolean = true
+
     /** Whether the finished blocks of an ended job are to be left: the ending alone says less than its owner may ask. */
     public fun keepsFinished(job: JobId): Boolean = false
 }
@@ -65,6 +73,10 @@
     public val tenure: () -> Tenure,
     /** Has the leader hold a job, wherever it is. */
     public val hold: suspend (JobId, HoldKind, String) -> HoldAnswer,
+    /** Tells the leader's table, and those who rent, of a job that a [JobKeeper] opens or that ended. */
+    public val jobs: (JobEvent) -> Unit,
+    /** How many tasks of a job run, by the leader's last word; for display. */
+    public val running: (JobId) -> Int,
 )
 
 /** What the operators switched on: read from the features file, made when the controller is. */
@@ -96,4 +108,25 @@
     public suspend fun explain(job: JobId): List<String> = features.flatMap { it.explain(job).orEmpty() }
 
     public fun keepsFinished(job: JobId): Boolean = features.any { it.keepsFinished(job) }
+
+    public fun keeper(job: JobId): JobKeeper? = features.firstNotNullOfOrNull { feature -> feature.keeper?.takeIf { it.keeps(job) } }
+
+    public suspend fun prepare(): Boolean = features.all { it.prepare() }
+
+    /**
+     * Why this node can't serve: something recorded needs a feature that is off here. It would tell users of accepted jobs that there are no
+     * such jobs, and as leader have their tasks stopped. Null: nothing does.
+     */
+    public fun unserved(entries: List<Entry>): String? {
+        for (entry in entries) {
+            val needed = entry.value.raw(NEEDS) as? String ?: continue
+            if (features.none { it.name == needed }) return "${entry.key} needs the feature $needed, which is off here"
+        }
+        return null
+    }
+
+    public companion object {
+        /** In a value: the name of the feature without which no node may serve. */
+        public const val NEEDS: String = "needs"
+    }
 }
--- a/src/main/kotlin/org/elderhitch/jobs/JobBook.kt
+++ b/src/main/kotlin/org/elderhitch/jobs/JobBook.kt
@@ -68,7 +68,8 @@
 
 /** What happens to jobs, for the leader's table. */
 public sealed interface JobEvent {
-    public data class Opened(val spec: JobSpec, val version: Revision) : JobEvent
+    /** [kept]: by a [JobKeeper], which records it as a whole and not by its tasks. */
+    public data class Opened(val spec: JobSpec, val version: Revision, val kept: Boolean = false) : JobEvent
     public data class Finished(val id: JobId, val tasks: FinishedTasks, val block: Int, val version: Revision) : JobEvent
     public data class Ended(val id: JobId) : JobEvent
 
--- a/src/main/kotlin/org/elderhitch/jobs/JobDesk.kt
+++ b/src/main/kotlin/org/elderhitch/jobs/JobDesk.kt
@@ -65,6 +65,7 @@
     private val accounts: Accounts = Accounts { null },
     private val rules: ClassRules = ClassRules.NONE,
     private val admission: Admission? = null,
+    private val keeper: (JobId) -> JobKeeper? = { null },
 ) {
     private val log = LoggerFactory.getLogger("elderhitch.jobs")
 
@@ -94,6 +95,7 @@
         val encoded = JobCodec.encode(spec) + extra
         if (Json.bytes(encoded).size > valueBytes) return known(id, orElse = Answer.Malformed("the job's fields are too long"))
         if (lookup(id).let { it is Known.Open || it is Known.Ended }) return known(id, orElse = Answer.NotNow("state unclear"))
+        if (keeper(id) != null) return known(id, orElse = Answer.Malformed("id: of a form that is given and not chosen"))
         refusal(spec)?.let { return known(id, orElse = it) }
         if (admission?.admits(book.footprint, spec) == false) return known(id, orElse = Answer.Full)
         return record(spec, encoded, beside)
@@ -156,7 +158,7 @@
         return when (val known = lookup(id)) {
             is Known.Ended -> Answer.State(id, known.record.standing())
             is Known.Open -> Answer.State(id, known.standing)
-            Known.Absent -> Answer.Unknown
+            Known.Absent -> keeper(id)?.show(id) ?: Answer.Unknown
             is Known.Nothing -> when (val read = client.read(Keys.end(id), Purpose.END)) {
                 is ReadOutcome.Found -> EndRecord.decode(read.entry.value)?.let {
                     book.tell(JobMessage.EndedHere(id, it))
@@ -164,7 +166,7 @@
                 } ?: Answer.NotNow("the job's ending can't be read")
                 ReadOutcome.Absent -> {
                     book.tell(JobMessage.AbsentHere(id, known.epoch))
-                    Answer.Unknown
+                    keeper(id)?.show(id) ?: Answer.Unknown
                 }
                 ReadOutcome.Unavailable -> Answer.NotNow("the state service doesn't answer")
             }
@@ -175,7 +177,10 @@
         repeat(TRIES) {
             if (lookup(id) !is Known.Open) {
                 val shown = show(id)
-                if (shown !is Answer.State || lookup(id) !is Known.Open) return shown
+                if (shown !is Answer.State) return shown
+                val known = lookup(id)
+                if (known is Known.Ended) return Answer.State(id, known.record.standing())
+                if (known !is Known.Open) return keeper(id)?.withdraw(id) ?: shown
             }
             val open = lookup(id) as? Known.Open ?: return@repeat
             val record = EndRecord(Ending.WITHDRAWN, open.standing.done, accounts.of(open.spec) ?: Account.unseen(open.spec, wall.now()))
--- a/src/main/kotlin/org/elderhitch/lab/Lab.kt
+++ b/src/main/kotlin/org/elderhitch/lab/Lab.kt
@@ -25,9 +25,9 @@
 
 /** Runs a direction's experiment against the stand-ins. Progress goes to standard error, the figures to standard output. */
 internal class LabCommand : CoreCliktCommand(name = "lab") {
-    private val name by argument(help = "which experiment").choice("drmaa", "storm")
+    private val name by argument(help = "which experiment").choice("drmaa", "storm", "sweep")
     private val seed by option("--seed").long().default(1)
-    private val size by option("--size", help = "how many jobs, or machines").int().restrictTo(1..1_000_000)
+    private val size by option("--size", help = "how many jobs, machines or points").int().restrictTo(1..1_000_000)
     private val out by option("--out", help = "a file for the figures too")
     private val storms by option("--storms", help = "storm: how many, one seed after the other").int().restrictTo(1..100_000).default(1)
     private val span by option("--for", help = "storm: how many seconds troubles come").int().restrictTo(1..3600).default(DEFAULT_SPAN)
@@ -41,6 +41,7 @@
         val began = System.nanoTime()
         val result = when (name) {
             "drmaa" -> DrmaaLab(seed, size ?: DEFAULT_JOBS, ::progress).run()
+            "sweep" -> SweepLab(seed, size ?: DEFAULT_POINTS, ::progress).run()
             else -> Storms(seed, size ?: DEFAULT_MACHINES, storms, span.seconds, share, shrink, schedule?.let(::read), ::progress).run()
         }
         progress("took ${(System.nanoTime() - began) / NANOS} ms")
@@ -67,6 +68,7 @@
         const val USAGE = 2
         const val DEFAULT_JOBS = 2000
         const val DEFAULT_MACHINES = 100
+        const val DEFAULT_POINTS = 10_000
         const val DEFAULT_SPAN = 180
         const val NANOS = 1_000_000
     }
--- /dev/null
+++ b/src/main/kotlin/org/elderhitch/lab/SweepLab.kt
@@ -0,0 +1,265 @@
+package org.elderhitch.lab
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.elderhitch.app.Rehearsal
+import org.elderhitch.features.FeatureFactory
+import org.elderhitch.features.Features
+import org.elderhitch.http.Address
+import org.elderhitch.jobs.ClassRules
+import org.elderhitch.json.Json
+import org.elderhitch.json.JsonObject
+import org.elderhitch.standin.TaskScript
+import org.elderhitch.sweeps.Description
+import org.elderhitch.sweeps.SweepClient
+import org.elderhitch.sweeps.SweepId
+import org.elderhitch.sweeps.Sweeps
+import org.elderhitch.sweeps.SweepsSettings
+import org.elderhitch.sweeps.Told
+import org.elderhitch.time.Moment
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * A sweep of many points beside other users' jobs: submitted, run with a leader's crash, a cut, a frozen leader and lost transactions, partly withdrawn.
+ * Each point must reach one final answer, the same on every node, and nothing of a withdrawn one may run on.
+ */
+internal class SweepLab(private val seed: Long, private val points: Int, private val progress: (String) -> Unit) {
+    private val random = Random(seed)
+    private val id = SweepId("lab$seed")
+    private val withdrawn = points / 4 until points / 4 + maxOf(1, points / 10)
+    private val rounds = HashMap<Boolean, MutableList<Long>>()
+
+    /** What the user uploads for the workers, who fetch it. */
+    private val description = Description.parse(
+        Json.parseObject(
+            """{"params":{"threshold":{"type":"number"},"runs":{"type":"number","default":4}},"at_once":400,
+            "job":{"lotClass":"score","desk":"team","lotKind":"array","urgency":"normal","crates":1,"cores":4.0,"accelerators":0.5,"memGb":8.0,"catchImage":"img-s",
+            "pullGb":1.0,"borrowedRigs":true,"haulS":"${'$'}{runs}","tallyS":0.0,"stowS":0.0},
+            "points":{"grid":{"threshold":"0 .. ${(points - 1) / DECIMALS} step 0.00001"}}}""".encodeToByteArray(),
+        ),
+    )
+
+    fun run(): LabResult {
+        val time = VirtualTime()
+        return time.run {
+            var sweepOpen = false
+            var ofSweep = 0L
+            var ofSingles = 0L
+            val world = World(
+                this, time.clock,
+                WorldSettings(
+                    seed, requestsPerS = 150.0, writesPerS = 25.0, mostGpus = 4000.0, machinesPerZone = 30,
+                    features = Features(ClassRules.NONE, listOf(FeatureFactory { Sweeps(SweepsSettings(tablePoints = 400), it) })),
+                    onRound = { looks -> rounds.getOrPut(sweepOpen) { ArrayList() }.add(looks) },
+                ),
+            )
+            world.platform.uploaded = { job -> SweepId.ofPoint(org.elderhitch.jobs.JobId(job))?.let { TaskScript("array", RUNS, CORES, ACCELERATORS) } }
+            val count = { key: String ->
+                if ("sweeps/" in key) ofSweep++
+                if ("req-single-" in key) ofSingles++
+            }
+            world.platform.state.onPut = count
+            world.platform.state.onDrop = count
+            val rules = RuleBook(time.clock, 41.seconds, world.limits, world::machine)
+            world.alsoTold = rules
+            for (n in 0 until points) rules.submits(JobFacts(id.point(n).text, "team", 1, ACCELERATORS, spotAllowed = true))
+            val others = Others(world)
+            launch { others.run(this) }
+            delay(WARM_UP)
+            launch { singles(world) }
+            singlesDone(world)
+            val singleChanges = ofSingles.toDouble() / SINGLES
+            sweepOpen = true
+            val began = time.clock.now()
+            val accepted = submit(world)
+            val acceptedIn = time.clock.now() - began
+            val changes = ofSweep
+            others.calmUntil = time.clock.now()
+            progress("accepted after $acceptedIn with $changes changes: $accepted")
+            for (n in 0 until points) rules.submitted(id.point(n).text, 200, "queued", began)
+            launch { troubles(world) }
+            withdraw(world, rules)
+            val ended = ended(world)
+            progress("ended after ${time.clock.now() - began}: $ended")
+            val (without, two) = answers(world, rules)
+            delay(CANCEL)
+            rules.tick()
+            figures(time, accepted, acceptedIn, changes, ofSweep, singleChanges, others, rules, without, two, ended)
+        }
+    }
+
+    private fun figures(
+        time: VirtualTime, accepted: Boolean, acceptedIn: Duration, changes: Long, allChanges: Long, singleChanges: Double, others: Others, rules: RuleBook, without: Int, two: Int, ended: Boolean,
+    ): LabResult {
+        val figures = linkedMapOf<String, Any?>(
+            "lab" to "sweep", "seed" to seed, "points" to points, "accepted_s" to acceptedIn.inWholeMilliseconds / MS, "changes_sweep" to changes,
+            "changes_sweep_to_its_end" to allChanges, "changes_single" to (singleChanges * points).toLong(), "others_submit_p99_ms" to others.p99(), "bytes_per_open_point" to bytes(),
+            "round_looks_with" to rounds[true]?.average()?.toLong(), "round_looks_without" to rounds[false]?.average()?.toLong(),
+            "without_answer" to without, "with_two_answers" to two, "ran_after_cancel" to rules.broken.count { it.first == "ran_cancelled" },
+            "rules_broken" to rules.broken.size, "ended" to ended, "took_s" to time.nowMs / MS.toLong(),
+        )
+        rules.broken.take(SHOWN).forEach { progress("rule broken: ${it.first} ${it.second}") }
+        val broken = when {
+            !accepted -> "not accepted"
+            !ended -> "not ended"
+            else -> listOf("without_answer", "with_two_answers", "ran_after_cancel", "rules_broken").firstOrNull { figures[it] != 0 }
+                ?: when {
+                    // A single job costs one change to be accepted, and two to end.
+                    changes * CHEAPER > points && points >= CHEAPER * CHEAPER -> "changes_sweep"
+                    acceptedIn > MOST_ACCEPTED -> "accepted_s"
+                    others.p99().let { it == null || it > MOST_OTHERS } -> "others_submit_p99_ms"
+                    else -> null
+                }
+        }
+        return LabResult(figures, broken)
+    }
+
+    /** What the state of the points takes of the heap, without those in the leader's table. */
+    private fun bytes(): Double {
+        val runtime = Runtime.getRuntime()
+        fun used(): Long {
+            repeat(4) { System.gc() }
+            return runtime.totalMemory() - runtime.freeMemory()
+        }
+        val before = used()
+        val held = List(COPIES) { Description.unpack(description.pack()) to org.elderhitch.sweeps.SweepState(id, org.elderhitch.sweeps.Manifest(points, 1, "", "team", "score", org.elderhitch.time.WallTime(0), emptyMap()), org.elderhitch.store.Revision(1)) }
+        val bytes = (used() - before).toDouble() / COPIES / points
+        check(held.size == COPIES)
+        return Math.rint(bytes * MS) / MS
+    }
+
+    private fun client(world: World): SweepClient = SweepClient(world.names.map { Address("$it:80") }, world.network.transport("user"), world.clock)
+
+    private suspend fun submit(world: World): Boolean {
+        // The first tries lose their answers: before half of the parts, and after the manifest.
+        var lost = 0
+        world.fateOf = { _, commit -> if ("sweeps/" in commit && lost++ < 2) Fate.AnswerLost else Fate.Answered }
+        val told = client(world).submit(id, description.pack(), VALUE, dry = false, 60.seconds)
+        val again = client(world).submit(id, description.pack(), VALUE, dry = false, 60.seconds)
+        world.fateOf = { _, _ -> Fate.Answered }
+        return told is Told.Answer && told.status in OK..CREATED && again is Told.Answer && again.status == OK
+    }
+
+    /** The same points as single jobs: some of them tell what each costs. */
+    private suspend fun singles(world: World) {
+        repeat(SINGLES) { n ->
+            val body = Rehearsal.exampleJob("req-single-$n", "array") + mapOf("crates" to 1, "haulS" to 1.0)
+            world.ask("POST", "/work", body)
+        }
+    }
+
+    private suspend fun singlesDone(world: World) =
+        world.until("single jobs done", 5.minutes) { (0 until SINGLES).all { world.platform.state.value("v/z/end/req-single-$it") != null } }
+
+    private suspend fun troubles(world: World) {
+        delay((5 + random.nextInt(5)).seconds)
+        val leader = world.leader() ?: world.names[0]
+        world.crash(leader)
+        delay(8.seconds)
+        world.startNode(leader)
+        delay((5 + random.nextInt(10)).seconds)
+        val next = world.leader() ?: world.names[0]
+        world.freeze(next)
+        delay((3 + random.nextInt(12)).seconds)
+        world.thaw(next)
+        delay(10.seconds)
+        val cut = world.names[random.nextInt(world.names.size)]
+        (world.names - cut + listOf("state", "cloud", "workers")).forEach { world.cuts.add(cut to it) }
+        delay(10.seconds)
+        world.cuts.clear()
+        delay(5.seconds)
+        world.fateOf = { _, commit -> if ("v/a/sweeps/" in commit && random.nextInt(4) == 0) (if (random.nextBoolean()) Fate.AnswerLost else Fate.Late(20.seconds)) else Fate.Answered }
+        delay(60.seconds)
+        world.fateOf = { _, _ -> Fate.Answered }
+    }
+
+    private suspend fun withdraw(world: World, rules: RuleBook) {
+        delay(12.seconds)
+        withdrawn.forEach { rules.asksToWithdraw(id.point(it).text) }
+        val told = client(world).ask("POST", "/sweeps/$id/withdraw", mapOf("from" to withdrawn.first, "to" to withdrawn.last), 120.seconds)
+        if (told !is Told.Answer || told.status != OK) progress("withdrawal not answered")
+    }
+
+    private suspend fun ended(world: World): Boolean {
+        val until = world.clock.now() + LIMIT
+        while (world.clock.now() < until) {
+            val told = client(world).ask("GET", "/sweeps/$id", null, 10.seconds)
+            if (told is Told.Answer && told.body.raw("open") == 0L) return true
+            delay(2.seconds)
+        }
+        return false
+    }
+
+    /** Asks every node for every point; with many points, all of them of one node and a part of the others. */
+    private suspend fun answers(world: World, rules: RuleBook): Pair<Int, Int> {
+        var without = 0
+        var two = 0
+        val told = HashMap<Int, String>()
+        for ((n, node) in world.names.withIndex()) {
+            for (point in 0 until points) {
+                if (n > 0 && points > MOST_ASKED && point % (points / MOST_ASKED) != 0) continue
+                val asked = world.clock.now()
+                val (status, body) = world.ask("GET", "/work/${id.point(point)}", node = node)
+                val word = body["standing"] as? String
+                rules.told(id.point(point).text, status, word, asked)
+                if (word != "done" && word != "withdrawn") without++
+                if (word != null && told.getOrPut(point) { word } != word) two++
+                if (word == "withdrawn" && point !in withdrawn) two++
+            }
+        }
+        progress("done ${told.values.count { it == "done" }}, withdrawn ${told.values.count { it == "withdrawn" }}")
+        return without to two
+    }
+
+    /** Other users, who submit a job each half second: how long each waits for its answer. */
+    private inner class Others(private val world: World) {
+        private val waited = ArrayList<Pair<Moment, Duration>>()
+        private var n = 0
+
+        /** Until then there is no other trouble than the sweep itself. */
+        var calmUntil: Moment = Moment.FOREVER
+
+        suspend fun run(scope: CoroutineScope) {
+            while (true) {
+                scope.launch {
+                    val began: Moment = world.clock.now()
+                    val body = Rehearsal.exampleJob("req-other-${n++}", "array") + mapOf("crates" to 1, "haulS" to 2.0)
+                    world.ask("POST", "/work", body)
+                    waited.add(began to world.clock.now() - began)
+                }
+                delay(EACH)
+            }
+        }
+
+        fun p99(): Long? = waited.filter { it.first < calmUntil }.map { it.second }.sorted().let { it.getOrNull(((it.size - 1) * P99).toInt())?.inWholeMilliseconds }
+    }
+
+    private companion object {
+        const val DECIMALS = 100_000.0
+        const val OK = 200
+        const val CREATED = 201
+        const val VALUE = 8192
+        const val CORES = 4.0
+        const val ACCELERATORS = 0.5
+        const val SINGLES = 40
+        const val SHOWN = 10
+        const val COPIES = 20
+        const val MS = 1000.0
+        const val P99 = 0.99
+        const val CHEAPER = 100
+
+        const val MOST_OTHERS = 1000L
+        const val MOST_ASKED = 20_000
+        val MOST_ACCEPTED = 5.seconds
+        val RUNS = 4.seconds
+        val EACH = 500.milliseconds
+        val WARM_UP = 20.seconds
+        val CANCEL = 45.seconds
+        val LIMIT = 120.minutes
+    }
+}
--- a/src/main/kotlin/org/elderhitch/settings/LuaScript.kt
+++ b/src/main/kotlin/org/elderhitch/settings/LuaScript.kt
@@ -115,6 +115,12 @@
         }
     }
 
+    /** This table as a list of tables. */
+    public fun tables(): List<LuaSection> {
+        if (table.length() != table.keyCount()) throw BadScript("$file: must return a list of tables")
+        return (1..table.length()).map { i -> LuaSection(file, script, path + i.toString(), table.get(i) as? LuaTable ?: throw BadScript("$file: entry $i of the list is no table")) }
+    }
+
     public fun section(key: String): LuaSection? {
         val value = table.get(key)
         if (value.isnil()) return null
--- a/src/main/kotlin/org/elderhitch/standin/StandInPlatform.kt
+++ b/src/main/kotlin/org/elderhitch/standin/StandInPlatform.kt
@@ -38,6 +38,9 @@
     public val cloud: CloudStandIn = CloudStandIn(clock, zones, perZone, boot, ::boot, ::gone)
     private val workers = HashMap<String, Pair<WorkerStandIn, Job>>()
     private val byAddress = HashMap<String, WorkerStandIn>()
+
+    /** What users uploaded for workers to fetch, beyond the jobs that are recorded; null: nothing. */
+    public var uploaded: (String) -> TaskScript? = { null }
     private val scripts = HashMap<String, TaskScript>()
 
     public fun start() {
@@ -81,7 +84,7 @@
     private fun script(job: String): TaskScript? {
         scripts[job]?.let { return it }
         val id = JobId.parse(job) ?: return null
-        val record: JsonObject = state.value(Keys.job(id)) ?: return null
+        val record: JsonObject = state.value(Keys.job(id)) ?: return uploaded(job)?.also { scripts[job] = it }
         val script = TaskScript(
             record.string("lotKind"), record.amount("haulS").seconds, record.amount("cores"), record.amount("accelerators"),
             fetchRate?.let { (record.amount("pullGb") / it).seconds } ?: Duration.ZERO,
--- a/src/main/kotlin/org/elderhitch/standin/StateStandIn.kt
+++ b/src/main/kotlin/org/elderhitch/standin/StateStandIn.kt
@@ -36,6 +36,9 @@
     /** Told of each key that is put, when it is. */
     public var onPut: (String) -> Unit = {}
 
+    /** Told of each key that is dropped, when it is. */
+    public var onDrop: (String) -> Unit = {}
+
     /** How many puts and drops were carried out. */
     public var changes: Long = 0
         private set
@@ -121,6 +124,7 @@
             val key = write.stringOrNull("put")
             if (key == null) {
                 drop(write.string("drop"))
+                onDrop(write.string("drop"))
             } else {
                 items[key] = Item(write.raw("value"), revision, write.longOrNull("permit"))
                 onPut(key)
--- /dev/null
+++ b/src/main/kotlin/org/elderhitch/sweeps/Library.kt
@@ -0,0 +1,128 @@
+package org.elderhitch.sweeps
+
+import org.elderhitch.store.CommitOutcome
+import org.elderhitch.store.Condition
+import org.elderhitch.store.Purpose
+import org.elderhitch.store.ReadOutcome
+import org.elderhitch.store.Revision
+import org.elderhitch.store.StateClient
+import org.elderhitch.store.Write
+import org.elderhitch.time.WallClock
+import org.elderhitch.time.WallTime
+import org.slf4j.LoggerFactory
+import kotlin.time.Duration.Companion.hours
+
+/** What reading the parts of a description came to. */
+internal sealed interface Reading {
+    class Packed(val bytes: ByteArray, val firstPart: Revision) : Reading
+    data class Missing(val part: Int) : Reading
+    data object NotNow : Reading
+}
+
+/** The descriptions of sweeps, read from their parts when they are needed; a node that doesn't lead holds none. */
+internal class Library(private val client: StateClient, private val wall: WallClock, private val valueBytes: Int) {
+    private val log = LoggerFactory.getLogger("elderhitch.sweeps")
+    private val held = HashMap<SweepId, Description>()
+
+    fun loaded(id: SweepId): Description? = held[id]
+
+    fun forget(id: SweepId) {
+        held.remove(id)
+    }
+
+    fun clear() = held.clear()
+
+    /** True if the description is here now. */
+    suspend fun load(state: SweepState): Boolean {
+        if (state.id in held) return true
+        held[state.id] = read(state) ?: return false
+        return true
+    }
+
+    /** Null: it can't be had now, or is not what the manifest names. */
+    suspend fun read(state: SweepState): Description? {
+        held[state.id]?.let { return it }
+        return when (val read = parts(state.id, state.manifest.parts)) {
+            is Reading.Packed -> described(state, read.bytes)
+            is Reading.Missing -> null.also { log.error("sweep part missing sweep={} part={}", state.id, read.part) }
+            Reading.NotNow -> null
+        }
+    }
+
+    private fun described(state: SweepState, packed: ByteArray): Description? {
+        if (Description.sum(packed) != state.manifest.sum) {
+            log.error("sweep description torn sweep={}", state.id)
+            return null
+        }
+        return try {
+            Description.unpack(packed)
+        } catch (e: BadTemplate) {
+            log.error("sweep description malformed sweep={} reason=\"{}\"", state.id, e.message)
+            null
+        }
+    }
+
+    suspend fun parts(id: SweepId, count: Int): Reading {
+        val texts = ArrayList<String>()
+        var first = Revision.ABSENT
+        for (part in 0 until count) {
+            when (val read = client.read(SweepKeys.part(id, part), Purpose.END)) {
+                is ReadOutcome.Found -> {
+                    if (part == 0) first = read.entry.version
+                    texts.add(read.entry.value.stringOrNull("data") ?: return Reading.Missing(part))
+                }
+                ReadOutcome.Absent -> return Reading.Missing(part)
+                ReadOutcome.Unavailable -> return Reading.NotNow
+            }
+        }
+        return Parts.join(texts)?.let { Reading.Packed(it, first) } ?: Reading.Missing(0)
+    }
+
+    /** What stands at that part afterwards: what was given, something else, or it can't be told. */
+    enum class Put { RECORDED, OTHER, NOT_NOW, TOO_LARGE }
+
+    suspend fun put(id: SweepId, part: Int, data: String): Put {
+        val value = mapOf("data" to data, "at" to wall.now().ms)
+        if (org.elderhitch.json.Json.bytes(value).size > valueBytes) return Put.TOO_LARGE
+        val key = SweepKeys.part(id, part)
+        repeat(TRIES) {
+            when (client.commit(listOf(Condition(key, Revision.ABSENT)), listOf(Write.Put(key, value)), Purpose.PROGRESS)) {
+                is CommitOutcome.Committed -> return Put.RECORDED
+                is CommitOutcome.Conflict -> return when (val read = client.read(key, Purpose.PROGRESS)) {
+                    is ReadOutcome.Found -> if (read.entry.value.stringOrNull("data") == data) Put.RECORDED else Put.OTHER
+                    else -> Put.NOT_NOW
+                }
+                CommitOutcome.Unknown -> Unit
+                CommitOutcome.Refused, CommitOutcome.NoSuchLease -> return Put.NOT_NOW
+            }
+        }
+        return Put.NOT_NOW
+    }
+
+    /**
+     * Parts that nobody made a sweep of for a long time go, the first part first: a manifest is written only under the version of the first part
+     * that its node read before all others, and no other part goes while a first one is there. So no manifest ever stands without its parts.
+     */
+    suspend fun collect(isRecorded: (SweepId) -> Boolean) {
+        var after: String? = null
+        while (true) {
+            val page = client.list(SweepKeys.PARTS, after) ?: return
+            for (entry in page.entries) {
+                val id = SweepKeys.sweepOfPart(entry.key) ?: continue
+                val at = entry.value.longOrNull("at")?.let(::WallTime) ?: continue
+                if (isRecorded(id) || wall.now() - at < ORPHANED) continue
+                log.info("sweep part collected key={}", entry.key)
+                val first = SweepKeys.part(id, 0)
+                val conditions = listOf(Condition(SweepKeys.manifest(id), Revision.ABSENT), Condition(first, if (entry.key == first) entry.version else Revision.ABSENT))
+                client.commit((conditions + Condition(entry.key, entry.version)).distinct(), listOf(Write.Drop(entry.key)), Purpose.OTHER)
+            }
+            after = page.entries.lastOrNull()?.key
+            if (!page.more || after == null) return
+        }
+    }
+
+    private companion object {
+        const val TRIES = 3
+        val ORPHANED = 1.hours
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/elderhitch/sweeps/Sources.kt
@@ -0,0 +1,95 @@
+package org.elderhitch.sweeps
+
+import de.siegmar.fastcsv.reader.CsvParseException
+import de.siegmar.fastcsv.reader.CsvReader
+import de.siegmar.fastcsv.reader.CsvRecord
+import org.elderhitch.json.Json
+import org.elderhitch.json.JsonObject
+import org.elderhitch.json.MalformedJson
+import org.elderhitch.settings.BadScript
+import org.elderhitch.settings.LuaScript
+import org.elderhitch.settings.LuaSection
+import java.io.File
+import java.io.IOException
+import java.io.Reader
+import java.io.UncheckedIOException
+import java.nio.charset.CharacterCodingException
+import java.nio.charset.CodingErrorAction
+
+/** Reads what a user wrote: a template's file, and points from a table or a script. On the client's machine; what is sent is a [Description]. */
+public object Sources {
+    private const val MOST_TEMPLATE_BYTES = 256 * 1024L
+
+    /** Throws [BadTemplate] with one line. [table]: a CSV file instead of the points that the file names. */
+    public fun read(file: File, table: File?): Description {
+        if (!file.isFile) throw BadTemplate("$file: no such file")
+        if (file.length() > MOST_TEMPLATE_BYTES) throw BadTemplate("$file: over $MOST_TEMPLATE_BYTES bytes")
+        val json = try {
+            Json.parseObject(file.readBytes())
+        } catch (e: MalformedJson) {
+            throw BadTemplate("$file: ${e.message}")
+        } catch (e: IOException) {
+            throw BadTemplate("$file can't be read: ${e.message}")
+        }
+        return Description.parse(json, table?.let(::csv) ?: points(json, file))
+    }
+
+    /** Null: as the record itself has them. */
+    private fun points(json: JsonObject, file: File): Points? {
+        val from = json.objectOrNull("points") ?: throw BadTemplate("points: missing")
+        from.stringOrNull("script")?.let { return script(file.name, it, json.longOrNull("seed") ?: 0) }
+        from.stringOrNull("table")?.let { name -> return csv(File(file.absoluteFile.parentFile, name)) }
+        return null
+    }
+
+    /** Streamed: a file of any size is refused once it is too much, and never held. Throws [BadTemplate]. */
+    public fun csv(file: File): Table {
+        if (!file.isFile) throw BadTemplate("$file: no such file")
+        val decoder = Charsets.UTF_8.newDecoder().onMalformedInput(CodingErrorAction.REPORT).onUnmappableCharacter(CodingErrorAction.REPORT)
+        return try {
+            java.io.InputStreamReader(file.inputStream(), decoder).use { csv(file.name, it) }
+        } catch (_: CharacterCodingException) {
+            throw BadTemplate("${file.name}: not UTF-8")
+        } catch (e: UncheckedIOException) {
+            throw BadTemplate(if (e.cause is CharacterCodingException) "${file.name}: not UTF-8" else "${file.name} can't be read: ${e.cause?.message}")
+        } catch (e: IOException) {
+            throw BadTemplate("${file.name} can't be read: ${e.message}")
+        }
+    }
+
+    internal fun csv(name: String, from: Reader): Table = try {
+        var builder: Table.Companion.Builder? = null
+        CsvReader.builder().ignoreDifferentFieldCount(true).skipEmptyLines(true).ofCsvRecord(from).forEach { record: CsvRecord ->
+            val row = record.fields.map { it.trim() }
+            val rows = builder
+            if (rows == null) builder = Table.Companion.Builder(row.mapIndexed { n, column -> if (n == 0) column.removePrefix("\uFEFF") else column }) else rows.add(row)
+        }
+        builder?.build() ?: throw BadTemplate("$name: empty")
+    } catch (e: CsvParseException) {
+        val cause = e.cause
+        throw if (cause is CharacterCodingException || cause?.cause is CharacterCodingException) BadTemplate("$name: not UTF-8") else BadTemplate("$name: ${e.message}")
+    } catch (e: BadTemplate) {
+        throw BadTemplate("$name: ${e.message}")
+    }
+
+    /**
+     * A Lua script that returns a list of tables, one a point. It knows `seed` and a `random` of that seed, no clock and no files, so the same
+     * script and seed give the same points; and what is recorded are the points. Throws [BadTemplate].
+     */
+    public fun script(name: String, script: String, seed: Long): Table {
+        val prelude = "local seed = $seed; local state = (seed * 2654435761 + 12345) % 2147483648; " +
+            "local function random() state = (state * 1103515245 + 12345) % 2147483648; return state / 2147483648 end; " +
+            "math.random = function(a, b) local r = random(); if not a then return r end; if not b then a, b = 1, a end; return a + math.floor(r * (b - a + 1)) end; math.randomseed = nil; "
+        val rows = try {
+            rowsOf(LuaScript.table(name, prelude + script))
+        } catch (e: BadScript) {
+            throw BadTemplate(e.message.orEmpty())
+        }
+        val columns = rows.flatMap { it.keys }.distinct().sorted()
+        val builder = Table.Companion.Builder(columns)
+        rows.forEach { row -> builder.add(columns.map { row[it]?.toString().orEmpty() }) }
+        return builder.build()
+    }
+
+    private fun rowsOf(list: LuaSection): List<Map<String, Any?>> = list.tables().map { row -> row.keys.associateWith { row.plain(it) } }
+}
--- /dev/null
+++ b/src/main/kotlin/org/elderhitch/sweeps/Sweep.kt
@@ -0,0 +1,125 @@
+package org.elderhitch.sweeps
+
+import com.dynatrace.hash4j.hashing.Hashing
+import io.airlift.compress.zstd.ZstdCompressor
+import io.airlift.compress.zstd.ZstdDecompressor
+import org.elderhitch.jobs.JobId
+import org.elderhitch.jobs.JobSpec
+import org.elderhitch.json.Json
+import org.elderhitch.json.JsonObject
+import org.elderhitch.json.MalformedJson
+import java.util.Base64
+
+/** A sweep's name, chosen by its user; the ids of its points are made of it. */
+@JvmInline
+public value class SweepId(public val text: String) {
+    public fun point(number: Int): JobId = JobId("req-w$text-$number")
+
+    override fun toString(): String = text
+
+    public companion object {
+        private val FORM = Regex("[a-z0-9]{4,24}")
+        private val POINT = Regex("req-w([a-z0-9]{4,24})-(0|[1-9][0-9]{0,5})")
+
+        public fun parse(text: String): SweepId? = if (FORM.matches(text)) SweepId(text) else null
+
+        /** The sweep and the number of a point's id; null: it is no point's. */
+        public fun ofPoint(id: JobId): Pair<SweepId, Int>? = POINT.matchEntire(id.text)?.destructured?.let { (sweep, number) -> SweepId(sweep) to number.toInt() }
+    }
+}
+
+/** What a sweep does with points that its template can't make jobs of. */
+public enum class OnBad { REFUSE, SKIP }
+
+/** A sweep as its user described it: recorded once, the same on every node. */
+public class Description(public val template: Template, private val raw: JsonObject, public val points: Points, public val onBad: OnBad, public val atOnce: Int) {
+    /** Throws [BadPoint]. */
+    public fun job(sweep: SweepId, point: Int): JobSpec = template.job(sweep.point(point), points.values(point))
+
+    /** Throws [BadPoint]. */
+    public fun body(sweep: SweepId, point: Int): Map<String, Any?> = template.body(sweep.point(point), points.values(point))
+
+    /** Compressed. */
+    public fun pack(): ByteArray = compress(
+        Json.bytes(
+            linkedMapOf(
+                "v" to VERSION, "params" to raw.raw("params"), "job" to raw.raw("job"), "points" to points.encode(),
+                "on_bad" to onBad.name.lowercase(), "at_once" to atOnce,
+            ),
+        ),
+    )
+
+    public companion object {
+        private const val VERSION = 1L
+        private const val DEFAULT_AT_ONCE = 200
+        public const val MOST_AT_ONCE: Int = 5000
+        private const val MOST_BYTES = 6 * 1024 * 1024
+        private val FIELDS = setOf("name", "params", "job", "points", "on_bad", "at_once", "seed", "v")
+
+        /** [points]: those of the file unless they come from elsewhere. Throws [BadTemplate]. */
+        public fun parse(from: JsonObject, points: Points? = null): Description = try {
+            from.names.firstOrNull { it !in FIELDS }?.let { throw BadTemplate("$it: unknown; known are ${FIELDS.sorted()}") }
+            val onBad = from.stringOrNull("on_bad")?.let { word -> OnBad.entries.firstOrNull { it.name.lowercase() == word } ?: throw BadTemplate("on_bad: $word is neither refuse nor skip") }
+            val atOnce = from.longOrNull("at_once") ?: DEFAULT_AT_ONCE.toLong()
+            if (atOnce !in 1..MOST_AT_ONCE) throw BadTemplate("at_once: not from 1 to $MOST_AT_ONCE")
+            Description(Template.parse(from.objectOrNull("params"), from.obj("job")), JsonObject.of(mapOf("params" to from.raw("params"), "job" to from.raw("job"))), points ?: Points.decode(from.obj("points")), onBad ?: OnBad.REFUSE, atOnce.toInt())
+        } catch (e: MalformedJson) {
+            throw BadTemplate(e.message.orEmpty())
+        }
+
+        /** Throws [BadTemplate] for what [pack] did not make. */
+        public fun unpack(packed: ByteArray): Description {
+            val json = try {
+                Json.parseObject(decompress(packed))
+            } catch (e: MalformedJson) {
+                throw BadTemplate("the description is ${e.message}")
+            }
+            if (json.raw("v") != VERSION) throw BadTemplate("the description has format ${json.raw("v")}, known is $VERSION")
+            return parse(json)
+        }
+
+        private fun compress(bytes: ByteArray): ByteArray {
+            val compressor = ZstdCompressor()
+            val out = ByteArray(compressor.maxCompressedLength(bytes.size))
+            return out.copyOf(compressor.compress(bytes, 0, bytes.size, out, 0, out.size))
+        }
+
+        private fun decompress(packed: ByteArray): ByteArray = try {
+            val decompressor = ZstdDecompressor()
+            val size = ZstdDecompressor.getDecompressedSize(packed, 0, packed.size)
+            // Told by the sender: what it would take is bounded before it is taken.
+            if (size !in 1..MOST_BYTES) throw BadTemplate("the description would be $size bytes")
+            val out = ByteArray(size.toInt())
+            if (decompressor.decompress(packed, 0, packed.size, out, 0, out.size) != out.size) throw BadTemplate("the description is cut short")
+            out
+        } catch (e: io.airlift.compress.MalformedInputException) {
+            throw BadTemplate("the description can't be unpacked: ${e.message}")
+        }
+
+        /** A checksum of the packed description; it names the content, and tells a torn one. */
+        public fun sum(packed: ByteArray): String = java.lang.Long.toHexString(Hashing.xxh3_64().hashBytesToLong(packed))
+    }
+}
+
+/** A packed description in parts that fit the state service's values. */
+public object Parts {
+    /** Beside the text there is little in a part's value. */
+    private const val ROOM = 512
+    private const val BASE64_IN = 3
+    private const val BASE64_OUT = 4
+    public const val MOST: Int = 512
+
+    public fun split(packed: ByteArray, valueBytes: Int): List<String> {
+        val each = (valueBytes - ROOM) / BASE64_OUT * BASE64_IN
+        return (packed.indices step each).map { Base64.getEncoder().encodeToString(packed.copyOfRange(it, minOf(it + each, packed.size))) }
+    }
+
+    /** Null: a part is none that [split] made. */
+    public fun join(parts: List<String>): ByteArray? = try {
+        val out = java.io.ByteArrayOutputStream()
+        parts.forEach { out.write(Base64.getDecoder().decode(it)) }
+        out.toByteArray()
+    } catch (_: IllegalArgumentException) {
+        null
+    }
+}
--- a/src/main/kotlin/org/elderhitch/workers/Foreman.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Foreman.kt
@@ -11,6 +11,7 @@
 import org.elderhitch.jobs.FinishedTasks
 import org.elderhitch.jobs.Image
 import org.elderhitch.jobs.JobEvent
+import org.elderhitch.jobs.JobId
 import org.elderhitch.jobs.TaskId
 import org.elderhitch.leadership.LeadershipMessage
 import org.elderhitch.leadership.Tenure
@@ -50,9 +51,10 @@
     private val wall: WallClock,
     rules: ClassRules = ClassRules.NONE,
     private val onRound: (looks: Long) -> Unit = {},
+    keeps: (JobId) -> JobEvent.Opened? = { null },
 ) : Actor<ForemanMessage>(scope) {
     private val log = LoggerFactory.getLogger("elderhitch.workers")
-    private val table = TaskTable(clock)
+    private val table = TaskTable(clock, keeps)
     private val events = EventLog(clock, log::info, log::error)
     private val leases = LeaseTimes(workerTimes.lease)
     private val takeover = Takeover(times, leases, clock)
@@ -176,7 +178,7 @@
         when (event) {
             is JobEvent.Opened -> {
                 log.debug("job opened job={} class={} tasks={} image={}", event.spec.id, event.spec.jobClass, event.spec.tasks, event.spec.image)
-                table.jobs.getOrPut(event.spec.id) { JobState(event.spec, event.version, clock.now()) }
+                table.open(event)
             }
             is JobEvent.Finished -> table.jobs[event.id]?.let {
                 it.blockVersions += event.block to event.version
@@ -209,7 +211,8 @@
     private fun lost(job: JobState, placement: Placement) {
         job.tally.gone(job, placement, clock.now(), holds.counts(job))
         val leading = leading() ?: return
-        if (holds.counts(job)) holds.failed(leading, job, placement.task.index)
+        // A hold stands beside the job's own record, and a kept job has none.
+        if (holds.counts(job) && !job.kept) holds.failed(leading, job, placement.task.index)
     }
 
     private fun account(leading: Tenure.Leading, job: JobState): Account =
@@ -266,8 +269,10 @@
         val now = clock.now()
         // Parts of jobs wait for each other: each rewrites whole blocks, and the end of a job waits for none of that.
         val parts = now - lastParts > PARTS_EVERY
-        val batches = table.jobs.values.filter { !it.ended && it.done.count > it.finished.count && (parts || it.done.all) }.take(MAX_BATCHES)
-            .map { FinishedBatch(it.id, it.version, it.done, it.done.beyond(it.finished), if (it.done.all) account(leading, it) else null, it.holdKey != null, it.blockVersions) }
+        val news = table.jobs.values.filter { !it.ended && it.done.count > it.finished.count && (parts || it.done.all) }
+        // Kept jobs are recorded many at a time and whole: their keeper packs them, once a round.
+        val batches = (news.filter { !it.kept }.take(MAX_BATCHES) + if (parts) news.filter { it.kept && it.done.all } else emptyList())
+            .map { FinishedBatch(it.id, it.version, it.done, it.done.beyond(it.finished), if (it.done.all) account(leading, it) else null, it.holdKey != null, it.blockVersions, it.kept) }
         if (batches.isEmpty()) return
         recording = true
         if (parts) lastParts = now
--- a/src/main/kotlin/org/elderhitch/workers/ForemanMessages.kt
+++ b/src/main/kotlin/org/elderhitch/workers/ForemanMessages.kt
@@ -128,4 +128,6 @@
     public val held: Boolean = false,
     /** Of the blocks that are recorded already. */
     public val blockVersions: Map<Int, Revision> = emptyMap(),
+    /** By a [org.elderhitch.jobs.JobKeeper]. */
+    public val kept: Boolean = false,
 )
--- a/src/main/kotlin/org/elderhitch/workers/Reconciler.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Reconciler.kt
@@ -24,7 +24,7 @@
         worker.strangers = emptyList()
         for (task in report.tasks) {
             seen.add(task.task)
-            val job = table.jobs[task.task.job]
+            val job = table.named(task.task.job)
             if (job == null) {
                 if (task.phase != TaskPhase.EXITED) worker.strangers += task.task.job
                 continue
--- a/src/main/kotlin/org/elderhitch/workers/TaskTable.kt
+++ b/src/main/kotlin/org/elderhitch/workers/TaskTable.kt
@@ -1,5 +1,6 @@
 package org.elderhitch.workers
 
+import org.elderhitch.jobs.JobEvent
 import org.elderhitch.jobs.JobId
 import org.elderhitch.jobs.JobSpec
 import org.elderhitch.jobs.TaskId
@@ -9,7 +10,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** The leader's table: the open jobs, the workers that report, and which task is where. */
-internal class TaskTable(private val clock: SteadyClock) {
+internal class TaskTable(private val clock: SteadyClock, private val keeps: (JobId) -> JobEvent.Opened? = { null }) {
     /** Told when a task that was seen on a machine is gone from it without having completed. */
     var onLost: (JobState, Placement) -> Unit = { _, _ -> }
 
@@ -43,6 +44,11 @@
         dirty = true
     }
 
+    fun open(event: JobEvent.Opened): JobState = jobs.getOrPut(event.spec.id) { JobState(event.spec, event.version, clock.now(), event.kept) }
+
+    /** An open job that a worker names, perhaps one that was not opened here yet; null: it has ended. */
+    fun named(id: JobId): JobState? = jobs[id] ?: keeps(id)?.let(::open)
+
     fun place(job: JobState, task: TaskId, attempt: Attempt, worker: WorkerState, certainty: Certainty, sendBy: Moment, sendFrom: Moment = Moment.NEVER): Placement {
         val placement = Placement(task, attempt, worker, certainty, sendBy, sendFrom)
         job.placements[task.index] = placement
--- a/src/main/kotlin/org/elderhitch/workers/WorkerState.kt
+++ b/src/main/kotlin/org/elderhitch/workers/WorkerState.kt
@@ -180,7 +180,7 @@
     }
 }
 
-internal class JobState(val spec: JobSpec, val version: Revision, val openedAt: Moment = Moment.NEVER) {
+internal class JobState(val spec: JobSpec, val version: Revision, val openedAt: Moment = Moment.NEVER, val kept: Boolean = false) {
     /** Recorded as finished. */
     val finished = FinishedTasks(spec.tasks)
 
