--- a/deploy/features.lua
+++ b/deploy/features.lua
@@ -9,4 +9,7 @@
 
   -- DRMAA (docs/operations/drmaa.md) needs a key file on every controller, so it is not on here:
   -- drmaa = { keys = "/etc/elderhitch/drmaa.keys", networks = { "10.0.0.0/8" }, categories = {} },
+
+  -- Sweeps (docs/operations/sweeps.md). Once there is one, no node serves without this section.
+  sweeps = { most_open = 50, table_points = 2000, waiting_points = 64 },
 }
--- /dev/null
+++ b/example/sweeps.lua
@@ -0,0 +1,2 @@
+-- For a first sweep on loopback (docs/operations/sweeps.md).
+return { sweeps = {} }
--- a/src/main/kotlin/org/elderhitch/app/Commands.kt
+++ b/src/main/kotlin/org/elderhitch/app/Commands.kt
@@ -114,6 +114,8 @@
 
     private val nodes by option("--nodes", help = "NAME=ADDRESS of each controller that workers report to, between commas; without it, the one of the settings")
 
+    private val uploads by option("--uploads", help = "a folder with descriptions of jobs, as `sweep submit --upload` writes them: what workers fetch")
+
     override fun help(context: Context): String = "Run a state service, a cloud and workers of our own, to try a controller out"
 
     override fun run(): Unit = Rehearsal.standIns(
@@ -121,6 +123,7 @@
         nodes?.split(',')?.associate {
             it.substringBefore('=') to (Address.parse(it.substringAfter('=')) ?: throw CliktError("--nodes: \"$it\" is not of the form node-0=127.0.0.1:8080", statusCode = 2))
         },
+        uploads?.let(::File),
     )
 }
 
--- a/src/main/kotlin/org/elderhitch/app/Controller.kt
+++ b/src/main/kotlin/org/elderhitch/app/Controller.kt
@@ -98,7 +98,7 @@
     private val cluster: Cluster = Cluster(scope, settings.node, incarnation, settings.peers, transport, clock, clusterPorts())
     private val features: FeatureSet = FeatureSet(
         features.factories.map {
-            it.make(FeatureContext(scope, settings, clock, wall, random, client, desk, meters, feed::sync, { leadership.tenure.value }, leaderDesk::hold, ::jobEvent, { id: JobId -> wiring.running[id] ?: 0 }))
+            it.make(FeatureContext(scope, settings, clock, wall, random, client, desk, meters, feed::sync, { leadership.tenure.value }, leaderDesk::hold, ::jobEvent, { id: JobId -> wiring.running[id] ?: 0 }, leaderDesk::atFault))
         },
     )
     private val edge: Edge = Edge(desk, foreman, cluster, ::reachesState, { feed.loaded }, meters, this.features, leaderDesk, ::status)
--- a/src/main/kotlin/org/elderhitch/app/LeaderDesk.kt
+++ b/src/main/kotlin/org/elderhitch/app/LeaderDesk.kt
@@ -60,9 +60,17 @@
     /** Null: this node doesn't lead. */
     public suspend fun survey(): Map<TaskId, MachineId>? = here { ForemanMessage.Survey(it) }
 
+    /** Open jobs that failed wherever they were tried; null: no leader answers. */
+    public suspend fun atFault(): Set<JobId>? {
+        if (leads()) return here { ForemanMessage.AtFault(it) }
+        val answer = there("faults", emptyMap(), PATIENT) ?: return null
+        return decoded { answer.stringsOrNull("jobs").orEmpty().mapNotNull(JobId::parse).toSet() }
+    }
+
     /** From another node. 503 unless this one leads. */
     public suspend fun handle(request: Request): Response {
         if (!leads()) return HttpServer.refusal(BUSY, "not the leader")
+        if (request.path == "faults") return Response(OK, Json.bytes(mapOf("jobs" to atFault().orEmpty().take(MOST_TOLD).map { it.text })))
         val body: JsonObject
         val id: JobId
         try {
@@ -120,6 +128,9 @@
         val SOON = 300.milliseconds
         val PATIENT = 1500.milliseconds
 
+        /** Of jobs that are all at fault, as many as an answer's line holds. */
+        const val MOST_TOLD = 1000
+
         /** A hold is a write, tried three times. */
         val LONG = 8.seconds
     }
--- a/src/main/kotlin/org/elderhitch/app/Rehearsal.kt
+++ b/src/main/kotlin/org/elderhitch/app/Rehearsal.kt
@@ -10,13 +10,16 @@
 import org.elderhitch.http.HttpServer
 import org.elderhitch.http.channelGroup
 import org.elderhitch.json.Json
+import org.elderhitch.json.MalformedJson
 import org.elderhitch.settings.Settings
 import org.elderhitch.standin.CloudStandIn
 import org.elderhitch.standin.StandInPlatform
+import org.elderhitch.standin.TaskScript
 import org.elderhitch.standin.TaskWatch
 import org.elderhitch.time.SystemSteadyClock
 import org.elderhitch.time.SystemWallClock
 import org.slf4j.LoggerFactory
+import java.io.File
 import java.io.IOException
 import java.net.InetAddress
 import java.net.ServerSocket
@@ -41,15 +44,27 @@
         override fun ended(task: String, machine: String) = log.info("task ended task={} machine={}", task, machine)
     }
 
-    fun standIns(config: String, nodes: Map<String, Address>?) {
+    fun standIns(config: String, nodes: Map<String, Address>?, uploads: File?) {
         val settings = Daemon.settings(config)
         val loop = Daemon.loop()
         val scope = Daemon.scope(loop)
         val group = channelGroup(loop)
-        start(settings, scope, HttpClient(group, SystemSteadyClock), HttpServer(group, scope, SystemSteadyClock, SOCKETS), nodes)
+        val platform = start(settings, scope, HttpClient(group, SystemSteadyClock), HttpServer(group, scope, SystemSteadyClock, SOCKETS), nodes)
+        uploads?.let { folder -> platform.uploaded = { job -> uploaded(File(folder, "$job.json")) } }
         log.info("stand-ins up state={} cloud={}", settings.state, settings.cloud)
     }
 
+    /** Null: no such file, or no job's description. */
+    private fun uploaded(file: File): TaskScript? = try {
+        if (file.isFile) StandInPlatform.script(Json.parseObject(file.readBytes())) else null
+    } catch (e: IOException) {
+        log.error("upload unreadable file={} reason=\"{}\"", file, e.message)
+        null
+    } catch (e: MalformedJson) {
+        log.error("upload malformed file={} reason=\"{}\"", file, e.message)
+        null
+    }
+
     private fun start(settings: Settings, scope: CoroutineScope, client: HttpClient, server: HttpServer, known: Map<String, Address>? = null): StandInPlatform {
         // The settings name the other controllers' cluster addresses only.
         val nodes = known ?: mapOf(settings.node.text to settings.clientListen)
--- a/src/main/kotlin/org/elderhitch/features/Feature.kt
+++ b/src/main/kotlin/org/elderhitch/features/Feature.kt
@@ -77,6 +77,8 @@
     public val jobs: (JobEvent) -> Unit,
     /** How many tasks of a job run, by the leader's last word; for display. */
     public val running: (JobId) -> Int,
+    /** Open jobs that failed wherever they were tried, by the leader's word; null: it doesn't answer. */
+    public val atFault: suspend () -> Set<JobId>?,
 )
 
 /** What the operators switched on: read from the features file, made when the controller is. */
--- a/src/main/kotlin/org/elderhitch/standin/StandInPlatform.kt
+++ b/src/main/kotlin/org/elderhitch/standin/StandInPlatform.kt
@@ -85,15 +85,18 @@
         scripts[job]?.let { return it }
         val id = JobId.parse(job) ?: return null
         val record: JsonObject = state.value(Keys.job(id)) ?: return uploaded(job)?.also { scripts[job] = it }
-        val script = TaskScript(
-            record.string("lotKind"), record.amount("haulS").seconds, record.amount("cores"), record.amount("accelerators"),
-            fetchRate?.let { (record.amount("pullGb") / it).seconds } ?: Duration.ZERO,
-        )
+        val script = script(record, fetchRate)
         scripts[job] = script
         return script
     }
 
-    private companion object {
-        val TICK = 100.milliseconds
+    public companion object {
+        private val TICK = 100.milliseconds
+
+        /** What a worker makes of a job's description. Throws [org.elderhitch.json.MalformedJson]. */
+        public fun script(job: JsonObject, fetchRate: Double? = null): TaskScript = TaskScript(
+            job.string("lotKind"), job.amount("haulS").seconds, job.amount("cores"), job.amount("accelerators"),
+            fetchRate?.let { (job.amount("pullGb") / it).seconds } ?: Duration.ZERO,
+        )
     }
 }
--- a/src/main/kotlin/org/elderhitch/standin/WorkerStandIn.kt
+++ b/src/main/kotlin/org/elderhitch/standin/WorkerStandIn.kt
@@ -23,6 +23,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
 
 /** What the stand-in workers know of jobs, since the users of stand-ins upload no descriptions. */
 public class TaskScript(
@@ -85,6 +86,14 @@
     public var gone: Boolean = false
         private set
 
+    /** The cloud takes the machine back after so long; null: it has not said so. */
+    public var notice: Duration? = null
+        set(value) {
+            field = value
+            changed = true
+            wake.trySend(Unit)
+        }
+
     /** When its first true report after a [lie] left it; null: not yet. */
     public var truthfulSince: Moment? = null
         private set
@@ -242,7 +251,7 @@
     private fun report(): ByteArray = Json.bytes(
         linkedMapOf(
             "stall" to machine.id, "addr" to machine.address.ifEmpty { "127.0.0.1:1" }, "rig" to machine.type, "hall" to machine.zone,
-            "borrowedRigs" to machine.spot, "shift" to session, "tallyNo" to ++sequence, "gavel" to token, "recallS" to null,
+            "borrowedRigs" to machine.spot, "shift" to session, "tallyNo" to ++sequence, "gavel" to token, "recallS" to notice?.toDouble(DurationUnit.SECONDS),
             "crates" to named().map {
                 linkedMapOf("crate" to it.id, "cast" to it.attempt, "standing" to it.phase, "cause" to it.cause)
             },
--- a/src/main/kotlin/org/elderhitch/sweeps/SweepClient.kt
+++ b/src/main/kotlin/org/elderhitch/sweeps/SweepClient.kt
@@ -32,7 +32,7 @@
             val answer = response?.let(::answer)
             if (answer != null && answer.status != BUSY && answer.status != TOO_MANY) return answer
             // Whatever was said, or not: the next node may do better.
-            if (response == null) sent = true
+            if (response == null && method == "POST") sent = true
             at++
             val pause = response?.headers?.entries?.firstOrNull { it.key.equals("Retry-After", ignoreCase = true) }?.value?.toLongOrNull()?.seconds ?: PAUSE
             if (clock.now() + pause >= until) return answer ?: Told.Silence(sent)
--- a/src/main/kotlin/org/elderhitch/sweeps/SweepCommands.kt
+++ b/src/main/kotlin/org/elderhitch/sweeps/SweepCommands.kt
@@ -193,7 +193,7 @@
 
 private class SweepPoints : SweepAsk("points") {
     private val id by argument(help = "the sweep's name")
-    private val state by option("--state", help = "only points that stand so").choice("open", "running", "done", "withdrawn", "skipped")
+    private val state by option("--state", help = "only points that stand so").choice("open", "running", "failed", "done", "withdrawn", "skipped")
 
     override fun help(context: Context): String = "List a sweep's points, one a line"
 
@@ -235,13 +235,15 @@
 
     override fun run() {
         val name = sweep(id)
-        val terminal = Terminal()
+        // Without its native parts the library can't tell a terminal from a pipe; the platform can.
+        val onTerminal = System.console() != null
+        val terminal = Terminal(interactive = onTerminal)
         val until = SystemSteadyClock.now() + timeout.seconds
         var last = ""
         while (true) {
             val shown = fine(speak { it.ask("GET", "/sweeps/$name", null, (until - SystemSteadyClock.now()).coerceAtLeast(1.seconds)) })
             val open = shown.long("open")
-            if (terminal.terminalInfo.outputInteractive) {
+            if (onTerminal) {
                 val ended = shown.long("points") - open
                 terminal.rawPrint("\r" + terminal.render(ProgressBar(total = shown.long("points"), completed = ended, width = BAR)) + " " + TextColors.cyan("$ended/${shown.long("points")}"))
             } else if (line(shown) != last) {
@@ -249,7 +251,7 @@
                 echo(last)
             }
             if (open == 0L) {
-                if (terminal.terminalInfo.outputInteractive) echo("\n" + line(shown))
+                if (onTerminal) echo("\n" + line(shown))
                 return
             }
             if (SystemSteadyClock.now() >= until) throw CliktError("$open points are still open", statusCode = NO_ANSWER)
--- a/src/main/kotlin/org/elderhitch/sweeps/SweepDesk.kt
+++ b/src/main/kotlin/org/elderhitch/sweeps/SweepDesk.kt
@@ -128,23 +128,35 @@
         return counts(state) + linkedMapOf(
             "sum" to state.manifest.sum,
             "account" to linkedMapOf(
-                "completed" to work.completed, "attempts" to work.attempts, "lost" to work.lost, "useful_s" to work.usefulS, "lost_s" to work.lostS,
+                "completed" to work.completed, "attempts" to work.attempts, "lost" to work.lost, "useful_s" to hundredths(work.usefulS), "lost_s" to hundredths(work.lostS),
                 "lower_bounds" to work.least, "p50_s" to work.percentile(HALF), "p90_s" to work.percentile(MOST), "p99_s" to work.percentile(NEARLY_ALL),
             ).filterValues { it != null },
         )
     }
 
+    private fun hundredths(seconds: Double): Double = Math.rint(seconds * HUNDREDTHS) / HUNDREDTHS
+
     private fun stateOf(state: SweepState, point: Int): String = state.endOf(point)?.name?.lowercase() ?: if (context.running(state.id.point(point)) > 0) "running" else "open"
 
-    private fun points(state: SweepState, query: Map<String, String>): Response {
+    private suspend fun points(state: SweepState, query: Map<String, String>): Response {
         val wanted = query["state"]
         if (wanted != null && wanted !in STATES) throw MalformedJson("state: none of $STATES")
         val after = query["after"]?.let { it.toIntOrNull() ?: throw MalformedJson("after: no number") } ?: -1
         val count = query["count"]?.let { it.toIntOrNull()?.takeIf { n -> n in 1..MOST_POINTS } ?: throw MalformedJson("count: not from 1 to $MOST_POINTS") } ?: MOST_POINTS
+        if (wanted == FAILED) return failed(state, after, count)
         val matching = (after + 1 until state.points).asSequence().map { it to stateOf(state, it) }.filter { wanted == null || it.second == wanted }.take(count + 1).toList()
-        return ok(linkedMapOf("points" to matching.take(count).map { (point, word) -> linkedMapOf("point" to point, "id" to state.id.point(point).text, "state" to word) }, "more" to (matching.size > count)))
+        return ok(linkedMapOf("points" to matching.take(count).map { (point, word) -> entry(state, point, word) }, "more" to (matching.size > count)))
+    }
+
+    /** Open points that failed wherever they were tried: with a mistake of their own, most likely. */
+    private suspend fun failed(state: SweepState, after: Int, count: Int): Response {
+        val failing = context.atFault() ?: return later("no leader answers")
+        val points = failing.mapNotNull { job -> SweepId.ofPoint(job)?.takeIf { it.first == state.id }?.second }.filter { it > after && state.endOf(it) == null }.sorted()
+        return ok(linkedMapOf("points" to points.take(count).map { entry(state, it, FAILED) }, "more" to (points.size > count)))
     }
 
+    private fun entry(state: SweepState, point: Int, word: String): Map<String, Any?> = linkedMapOf("point" to point, "id" to state.id.point(point).text, "state" to word)
+
     private suspend fun point(state: SweepState, point: Int?): Response {
         if (point == null || point !in 0 until state.points) return HttpServer.refusal(NOT_FOUND, "no such point")
         val description = library.read(state) ?: return later("the description can't be read now")
@@ -185,7 +197,8 @@
 
         /** A line of an answer may be 64 KiB long; a point's entry takes some 70 bytes. */
         const val MOST_POINTS = 500
-        val STATES = listOf("open", "running", "done", "withdrawn", "skipped")
+        const val FAILED = "failed"
+        val STATES = listOf("open", "running", "done", "withdrawn", "skipped", FAILED)
         const val HALF = 0.5
         const val MOST = 0.9
         const val NEARLY_ALL = 0.99
--- a/src/main/kotlin/org/elderhitch/workers/Foreman.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Foreman.kt
@@ -135,6 +135,7 @@
             is ForemanMessage.AccountOf -> message.reply.complete(leading()?.let { l -> table.jobs[message.id]?.let { account(l, it) } })
             is ForemanMessage.Explain -> message.reply.complete(leading()?.let { explanation.of(it, message.id, catalog, clock.now(), tableComplete) { w -> usable(w, clock.now()) } })
             is ForemanMessage.Survey -> message.reply.complete(leading()?.takeIf { tableComplete }?.let { table.whereabouts() })
+            is ForemanMessage.AtFault -> message.reply.complete(leading()?.takeIf { tableComplete }?.let { table.jobs.values.filter { !it.ended && faults.atFault(it) }.map { it.id }.toSet() })
             ForemanMessage.Tick -> tick()
         }
     }
--- a/src/main/kotlin/org/elderhitch/workers/ForemanMessages.kt
+++ b/src/main/kotlin/org/elderhitch/workers/ForemanMessages.kt
@@ -86,6 +86,9 @@
 
     /** Which machine each task is on or was sent to, by the leader's table; null: this node doesn't lead, or its table isn't complete. */
     public data class Survey(val reply: CompletableDeferred<Map<TaskId, MachineId>?>) : ForemanMessage
+
+    /** Open jobs that failed wherever they were tried; null: as for [Survey]. */
+    public data class AtFault(val reply: CompletableDeferred<Set<JobId>?>) : ForemanMessage
     public data object Tick : ForemanMessage
 }
 
