--- a/src/main/kotlin/org/elderhitch/app/Edge.kt
+++ b/src/main/kotlin/org/elderhitch/app/Edge.kt
@@ -38,11 +38,11 @@
     private val log = LoggerFactory.getLogger("elderhitch.app")
 
     override suspend fun handle(request: Request): Response = when {
-        request.path == "/checkin" -> only("POST", request) { report(request) }
-        request.path == "/ready" -> only("GET", request) {
+        request.path == "/checkin" -> HttpServer.only("POST", request) { report(request) }
+        request.path == "/ready" -> HttpServer.only("GET", request) {
             if (ready()) Response(OK, Json.bytes(mapOf("ready" to true))) else HttpServer.refusal(BUSY, "starting", RETRY)
         }
-        request.path == "/status" -> only("GET", request) { Response(OK, Json.bytes(status())) }
+        request.path == "/status" -> HttpServer.only("GET", request) { Response(OK, Json.bytes(status())) }
         request.path == "/work" || request.path.startsWith("/work/") -> meters.timed(request) { user(request) }
         request.path.startsWith(EXPLAIN) || request.path.startsWith(RELEASE) -> user(request)
         // Their clients know all nodes: what this one can't answer isn't handed on.
@@ -73,8 +73,8 @@
 
     /** Answers without handing the request on to another controller. */
     public suspend fun serveHere(request: Request): Response = when {
-        request.path.startsWith(EXPLAIN) -> only("GET", request) { explain(request.path.removePrefix(EXPLAIN)) }
-        request.path.startsWith(RELEASE) -> only("POST", request) { release(request) }
+        request.path.startsWith(EXPLAIN) -> HttpServer.only("GET", request) { explain(request.path.removePrefix(EXPLAIN)) }
+        request.path.startsWith(RELEASE) -> HttpServer.only("POST", request) { release(request) }
         else -> work(request)
     }
 
@@ -119,13 +119,13 @@
     private suspend fun work(request: Request): Response {
         val rest = request.path.removePrefix("/work").removePrefix("/")
         return when {
-            rest.isEmpty() -> only("POST", request) { answer(desk.submit(request.body)) }
-            rest.endsWith(WITHDRAW) -> only("POST", request) {
+            rest.isEmpty() -> HttpServer.only("POST", request) { answer(desk.submit(request.body)) }
+            rest.endsWith(WITHDRAW) -> HttpServer.only("POST", request) {
                 val id = JobId.parse(rest.removeSuffix(WITHDRAW))
                 answer(if (id == null) Answer.Unknown else desk.withdraw(id))
             }
             '/' in rest -> HttpServer.refusal(NOT_FOUND, "no such path")
-            else -> only("GET", request) {
+            else -> HttpServer.only("GET", request) {
                 val id = JobId.parse(rest)
                 answer(if (id == null) Answer.Unknown else desk.show(id))
             }
@@ -142,20 +142,11 @@
         Answer.Full -> Response(BUSY, FULL, mapOf("Retry-After" to FULL_RETRY.inWholeSeconds.toString()))
     }
 
-    private suspend fun only(method: String, request: Request, serve: suspend () -> Response): Response =
-        if (request.method == method) {
-            serve()
-        } else {
-            val refused = HttpServer.refusal(WRONG_METHOD, "only $method")
-            Response(refused.status, refused.body, mapOf("Allow" to method))
-        }
-
     private companion object {
         const val OK = 200
         const val CREATED = 201
         const val BAD = 400
         const val NOT_FOUND = 404
-        const val WRONG_METHOD = 405
         const val MISDIRECTED = 421
         const val UNPROCESSABLE = 422
         const val BUSY = 503
--- a/src/main/kotlin/org/elderhitch/http/HttpServer.kt
+++ b/src/main/kotlin/org/elderhitch/http/HttpServer.kt
@@ -155,6 +155,7 @@
         private const val BUFFER = 4096
         private const val HEAD_SIZE = 160
         private const val INTERNAL = 500
+        private const val WRONG_METHOD = 405
         private val ACCEPT_PAUSE = 20.milliseconds
 
         public fun refusal(status: Int, reason: String, retryAfter: Duration? = null): Response = Response(
@@ -163,6 +164,12 @@
             if (retryAfter == null) emptyMap() else mapOf("Retry-After" to retryAfter.inWholeSeconds.coerceAtLeast(1).toString()),
         )
 
+        /** Serves the one method that a path has. */
+        public suspend fun only(method: String, request: Request, serve: suspend () -> Response): Response {
+            if (request.method == method) return serve()
+            return refusal(WRONG_METHOD, "only $method").let { Response(it.status, it.body, mapOf("Allow" to method)) }
+        }
+
         internal fun reason(status: Int): String = when (status) {
             200 -> "OK"
             201 -> "Created"
--- a/src/main/kotlin/org/elderhitch/sweeps/SweepDesk.kt
+++ b/src/main/kotlin/org/elderhitch/sweeps/SweepDesk.kt
@@ -25,7 +25,7 @@
     suspend fun handle(request: Request): Response = try {
         val words = request.path.removePrefix("/sweeps").split('/').filter { it.isNotEmpty() }
         if (words.isEmpty()) {
-            only("GET", request) { list(request.query["after"]) }
+            HttpServer.only("GET", request) { list(request.query["after"]) }
         } else {
             val id = SweepId.parse(words[0]) ?: throw MalformedJson("the name of a sweep is 4 to 24 small letters and digits")
             sweep(id, words.drop(1), request)
@@ -38,11 +38,11 @@
 
     private suspend fun sweep(id: SweepId, rest: List<String>, request: Request): Response = when {
         rest.isEmpty() && request.method == "POST" -> accept(id, Json.parseObject(request.body))
-        rest.isEmpty() -> only("GET", request) { known(id) { ok(shown(it)) } }
-        rest.size == 2 && rest[0] == "part" -> only("POST", request) { part(id, rest[1].toIntOrNull(), Json.parseObject(request.body)) }
-        rest == listOf("points") -> only("GET", request) { known(id) { points(it, request.query) } }
-        rest.size == 2 && rest[0] == "points" -> only("GET", request) { known(id) { point(it, rest[1].toIntOrNull()) } }
-        rest == listOf("withdraw") -> only("POST", request) { known(id) { withdraw(it, if (request.body.isEmpty()) JsonObject.of(emptyMap<String, Any>()) else Json.parseObject(request.body)) } }
+        rest.isEmpty() -> HttpServer.only("GET", request) { known(id) { ok(shown(it)) } }
+        rest.size == 2 && rest[0] == "part" -> HttpServer.only("POST", request) { part(id, rest[1].toIntOrNull(), Json.parseObject(request.body)) }
+        rest == listOf("points") -> HttpServer.only("GET", request) { known(id) { points(it, request.query) } }
+        rest.size == 2 && rest[0] == "points" -> HttpServer.only("GET", request) { known(id) { point(it, rest[1].toIntOrNull()) } }
+        rest == listOf("withdraw") -> HttpServer.only("POST", request) { known(id) { withdraw(it, if (request.body.isEmpty()) JsonObject.of(emptyMap<String, Any>()) else Json.parseObject(request.body)) } }
         else -> HttpServer.refusal(NOT_FOUND, "no such path")
     }
 
@@ -182,15 +182,11 @@
 
     private fun later(reason: String) = Response(BUSY, Json.bytes(mapOf("error" to reason)), mapOf("Retry-After" to "1"))
 
-    private suspend fun only(method: String, request: Request, serve: suspend () -> Response): Response =
-        if (request.method == method) serve() else Response(WRONG_METHOD, Json.bytes(mapOf("error" to "only $method")), mapOf("Allow" to method))
-
     private companion object {
         const val OK = 200
         const val CREATED = 201
         const val BAD = 400
         const val NOT_FOUND = 404
-        const val WRONG_METHOD = 405
         const val CONFLICT = 409
         const val BUSY = 503
         const val PAGE = 200
