Wardens, read once more: one way to ask the foreman, no parameter without use

Need: a reading of the whole change. The controller built its own question to the foreman beside LeaderDesk's; Silence.patience had kept a parameter, and a map of nodes, for a rule that is gone; the count of machines that may hide something stood apart from the state that it is made of, under a name that means another thing in Inquiry. Change: LeaderDesk.nameWarden, Takeover.hidingIn beside mayHide and reserved, Silence with a set of zones. It decides as before.

--- a/src/main/kotlin/org/elderhitch/app/Controller.kt
+++ b/src/main/kotlin/org/elderhitch/app/Controller.kt
@@ -4,7 +4,6 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
-import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -216,12 +215,7 @@
 
         override fun formerStopped(term: Term) = foreman.tell(ForemanMessage.FormerStopped(term))
 
-        override suspend fun nameWarden(node: NodeName): Named? {
-            if (leadership.tenure.value !is Tenure.Leading) return null
-            val reply = CompletableDeferred<Named?>()
-            foreman.tell(ForemanMessage.NameWarden(node, reply))
-            return reply.await()
-        }
+        override suspend fun nameWarden(node: NodeName): Named? = leaderDesk.nameWarden(node)
 
         override fun wardenNamed(grant: Grant) = foreman.tell(ForemanMessage.WardenNamed(grant))
 
--- a/src/main/kotlin/org/elderhitch/app/LeaderDesk.kt
+++ b/src/main/kotlin/org/elderhitch/app/LeaderDesk.kt
@@ -14,6 +14,7 @@
 import org.elderhitch.json.MalformedJson
 import org.elderhitch.leadership.Tenure
 import org.elderhitch.settings.NodeName
+import org.elderhitch.wardens.Named
 import org.elderhitch.workers.Foreman
 import org.elderhitch.workers.ForemanMessage
 import org.elderhitch.workers.HoldAnswer
@@ -60,6 +61,9 @@
     /** Null: this node doesn't lead. */
     public suspend fun survey(): Map<TaskId, MachineId>? = here { ForemanMessage.Survey(it) }
 
+    /** Null: not now, or this node doesn't lead. */
+    public suspend fun nameWarden(node: NodeName): Named? = here { ForemanMessage.NameWarden(node, it) }
+
     /** Open jobs that failed wherever they were tried; null: no leader answers. */
     public suspend fun atFault(): Set<JobId>? {
         if (leads()) return here { ForemanMessage.AtFault(it) }
--- a/src/main/kotlin/org/elderhitch/workers/Foreman.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Foreman.kt
@@ -65,7 +65,7 @@
     private val inquiry = Inquiry(table, takeover, workerTimes, wakefulness, ports)
     private val roster = Roster()
     private val wardens = ZoneWardens(own, nodeZones, table, takeover, roster, ports)
-    private val silence = Silence(table, takeover, workerTimes, leases, TICK, nodeZones, inquiry, wakefulness, events, ports, wardens)
+    private val silence = Silence(table, takeover, workerTimes, leases, TICK, nodeZones.values.toSet(), inquiry, wakefulness, events, ports, wardens)
     private val consolidation = Consolidation(table)
     private val feed = RoundFeed(table, faults, teams, objectives)
     private val demand = DemandReport(table, silence.suspectAfter)
--- a/src/main/kotlin/org/elderhitch/workers/Silence.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Silence.kt
@@ -4,7 +4,6 @@
 import org.elderhitch.fleet.Machine
 import org.elderhitch.leadership.LeadershipMessage
 import org.elderhitch.leadership.Tenure
-import org.elderhitch.settings.NodeName
 import org.elderhitch.settings.WorkerTimes
 import org.elderhitch.settings.Zone
 import org.elderhitch.time.Moment
@@ -24,7 +23,8 @@
     private val workerTimes: WorkerTimes,
     private val leases: LeaseTimes,
     private val tick: Duration,
-    private val zoneOf: Map<NodeName, Zone>,
+    /** Zones with a controller in them. */
+    private val nodeZones: Set<Zone>,
     private val inquiry: Inquiry,
     private val wakefulness: Wakefulness,
     private val events: EventLog,
@@ -107,7 +107,7 @@
         // Machines of an earlier term that never said a word in this one.
         val unheard = takeover.unheard.filter { it !in table.workers }
         unheard.forEach { id -> known[id]?.let { zones.getOrPut(it.zone) { Hearing() }.unheard++ } }
-        missingZones = zones.filter { (zone, its) -> its.unheard >= CUT_LEAST && its.heard + its.silent == 0 && zone in zoneOf.values }.keys
+        missingZones = zones.filter { (zone, its) -> its.unheard >= CUT_LEAST && its.heard + its.silent == 0 && zone in nodeZones }.keys
         doubtfulZones = zones.filterValues { it.majorityOverdue }.keys + quiet
         val cut = if (now - leading.claimedAt > suspectAfter) zones.filterValues { it.majoritySilent }.keys + quiet else emptySet()
         if (cut != cutZones) log.info("zones cut off zones={} silent={}", cut, silent + unheard.size)
@@ -152,7 +152,7 @@
     private fun release(leading: Tenure.Leading, now: Moment, unheard: List<MachineId>, known: Map<MachineId, Machine>) {
         val silent = table.workers.values.filter { worker ->
             val quiet = now - maxOf(listeningSince(worker, leading), reopenedAt[worker.zone] ?: Moment.NEVER)
-            val patience = patience(worker.id, worker.zone, worker.settled, leading, now)
+            val patience = patience(worker.id, worker.zone, worker.settled, now)
             quiet > (if (inquiry.wasAskedInVain(worker.id)) patience else patience + UNASKED_MARGIN) && now - worker.releaseAsked > RELEASE_AGAIN
         }
         for (worker in silent) {
@@ -165,7 +165,7 @@
             // What the cloud doesn't list is mostly long gone; to return it costs nothing then, and is proof at once.
             if (inquiry.isUnlisted(id)) return@filter waited > UNLISTED_PATIENCE
             val zone = known[id]?.zone
-            val patience = if (zone == null) releaseAfter else patience(id, zone, settled = false, leading, now)
+            val patience = if (zone == null) releaseAfter else patience(id, zone, settled = false, now)
             waited > patience + if (inquiry.isUnreachable(id)) Duration.ZERO else UNHEARD_MARGIN
         }
         if (overdue.isNotEmpty()) ports.fleet(FleetMessage.Release(overdue, "unheard"))
@@ -176,7 +176,7 @@
      * have not reported in this term, and nothing else gives proof as soon as their return does. Not where a whole zone
      * is missing: a controller in it keeps them running, and their return would end half of all services; nor shortly before their leases end.
      */
-    private fun patience(machine: MachineId, zone: Zone, settled: Boolean, leading: Tenure.Leading, now: Moment): Duration {
+    private fun patience(machine: MachineId, zone: Zone, settled: Boolean, now: Moment): Duration {
         // In a cut's first seconds those whose reports are due first can't be told from dead ones, unless another of the zone is heard after them.
         val othersHeard = !takeover.settled || lastWord[zone].let { it != null && it > inquiry.unreachableSince(machine) }
         if (inquiry.isUnreachable(machine) && zone !in doubtfulZones && othersHeard) {
--- a/src/main/kotlin/org/elderhitch/workers/Takeover.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Takeover.kt
@@ -7,6 +7,7 @@
 import org.elderhitch.leadership.Tenure
 import org.elderhitch.leadership.TenureTimes
 import org.elderhitch.leadership.Term
+import org.elderhitch.settings.Zone
 import org.elderhitch.time.Moment
 import org.elderhitch.time.SteadyClock
 import org.slf4j.LoggerFactory
@@ -24,10 +25,7 @@
     var settled = false
         private set
 
-    /** Machines whose word is missing; null while it isn't known which there are. */
-    val listed: Set<MachineId>? get() = silent
-
-    /** The same; empty while it isn't known. */
+    /** Machines whose word is missing; empty too while it isn't known which there are. */
     val unheard: Set<MachineId> get() = silent.orEmpty()
 
     fun begin(leading: Tenure.Leading) {
@@ -70,6 +68,13 @@
         return unheard.any { id -> known[id]?.let { job.mayUse(it.type, it.zone, it.spot) } ?: true }
     }
 
+    /** How many machines of a zone may still run what nobody has reported; null: it isn't known which there are. */
+    fun hidingIn(zone: Zone, known: Map<MachineId, Machine>): Int? {
+        if (settled) return 0
+        // Of a machine that nothing is known of, not even its zone is.
+        return silent?.count { id -> known[id].let { it == null || it.zone == zone } }
+    }
+
     /** It ends within one lease's time, whatever happens. */
     fun endsSoon(now: Moment): Boolean = leases.endSoon(end, now)
 
--- a/src/main/kotlin/org/elderhitch/workers/ZoneWardens.kt
+++ b/src/main/kotlin/org/elderhitch/workers/ZoneWardens.kt
@@ -45,10 +45,8 @@
     }
 
     private fun standing(zone: Zone): ZoneStanding {
-        // Of a machine that nothing is known of, not even its zone is.
-        val unheard = if (takeover.settled) 0 else takeover.listed?.count { roster.known[it]?.zone.let { of -> of == null || of == zone } }
         val ended = table.jobs.values.filter { job -> job.ended && job.everywhere().any { it.zone == zone } }
-        return ZoneStanding(unheard, table.workers.values.count { it.zone == zone && it.strangers.isNotEmpty() }, ended.minOfOrNull { it.endedAt })
+        return ZoneStanding(takeover.hidingIn(zone, roster.known), table.workers.values.count { it.zone == zone && it.strangers.isNotEmpty() }, ended.minOfOrNull { it.endedAt })
     }
 
     fun named(grant: Grant) = warden.named(grant)
