A leader's rights rest on fresh knowledge, and every answer carries the stops of ended jobs

Cause: the window counted from the last renewal of the lease, which proves who leads and not what users were told. Seen to fail on, each in virtual time: a leader that renews while its watch is silent keeps withdrawn tasks (and the lead) for ever; one whose lease is back after an outage before its knowledge starts withdrawn tasks again; a stop that a deaf worker missed is not repeated past the window; a warden named within 2 s of when the leader *heard* of an old ending keeps its tasks past cancel_s. Change: the window and the hold time run from the older of the last renewal and the last proof that nothing is missing, a watch that doesn't block, counted once the leader's table holds what it brought. A leader that renews and hears nothing else for 8 s resigns. Every answer to a report, in any phase and term, from leaders and wardens, stops the reported tasks whose job's ending has been read; one that can't is not given. A warden's time ends as early as the oldest ending that isn't carried out asks. With it, found by reading: a takeover counts the leases that its own answers renewed (a machine that came back just before its end was taken for empty); another run of the former leader's node counts only if it answered a question sent after the claim; answers to watches that were asked before a reload of the feed no longer join what was read since, and a reload forgets no job that was recorded after its first page; stored endings that can't be read are logged by key.

--- a/src/main/kotlin/org/elderhitch/actor/Actor.kt
+++ b/src/main/kotlin/org/elderhitch/actor/Actor.kt
@@ -5,31 +5,49 @@
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.launch
 import org.slf4j.LoggerFactory
+import java.util.concurrent.ConcurrentLinkedQueue
 
 /**
  * Owns its state; others only [tell] it things. [receive] never waits: what takes time is launched beside it and comes
  * back as a message, so that an actor's state changes in one place and never under its feet.
  */
 public abstract class Actor<M : Any>(protected val scope: CoroutineScope) {
-    private val mailbox = Channel<M>(Channel.UNLIMITED)
+    private val mailbox = Channel<Letter<M>>(Channel.UNLIMITED)
+    private val urgent = ConcurrentLinkedQueue<M>()
+
+    /** What was told; null: something lies with the urgent messages. */
+    private class Letter<M>(val message: M?)
 
     public fun tell(message: M) {
-        mailbox.trySend(message)
+        if (isUrgent(message)) {
+            urgent.add(message)
+            mailbox.trySend(Letter(null))
+        } else {
+            mailbox.trySend(Letter(message))
+        }
     }
 
+    /** Urgent messages are received before all others that wait, and among themselves in their order. */
+    protected open fun isUrgent(message: M): Boolean = false
+
     public open fun start() {
         scope.launch {
-            for (message in mailbox) {
-                try {
-                    receive(message)
-                } catch (e: CancellationException) {
-                    throw e
-                } catch (@Suppress("TooGenericExceptionCaught") e: Exception) {
-                    LoggerFactory.getLogger("elderhitch.actor").error("message failed message={}", message, e)
-                }
+            for (letter in mailbox) {
+                while (true) handle(urgent.poll() ?: break)
+                letter.message?.let(::handle)
             }
         }
     }
 
+    private fun handle(message: M) {
+        try {
+            receive(message)
+        } catch (e: CancellationException) {
+            throw e
+        } catch (@Suppress("TooGenericExceptionCaught") e: Exception) {
+            LoggerFactory.getLogger("elderhitch.actor").error("message failed message={}", message, e)
+        }
+    }
+
     protected abstract fun receive(message: M)
 }
--- a/src/main/kotlin/org/elderhitch/app/Controller.kt
+++ b/src/main/kotlin/org/elderhitch/app/Controller.kt
@@ -170,7 +170,10 @@
         if (term == acting) return
         if (acting != null) features.termEnds()
         acting = term
-        if (tenure is Tenure.Leading) complete(tenure)
+        if (tenure is Tenure.Leading) {
+            complete(tenure)
+            scope.launch { prove(tenure) }
+        }
     }
 
     /** A term starts to act once all that was recorded before its claim is known here. */
@@ -187,6 +190,11 @@
         }
     }
 
+    /** A leader's rights rest on what it knows, which ages: as often as it renews its lease it asks for all that it may lack. */
+    private suspend fun prove(leading: Tenure.Leading) {
+        while ((leadership.tenure.value as? Tenure.Leading)?.term == leading.term) delay(if (feed.prove()) times.renewEvery else PROVE_RETRY)
+    }
+
     private fun jobEvent(event: JobEvent) {
         foreman.tell(ForemanMessage.Job(event))
         if (event is JobEvent.Opened) renter.tell(FleetMessage.JobOpened(event.spec))
@@ -266,5 +274,6 @@
         val PROBE_AFTER = 1.seconds
         val PROBE_PATIENCE = 1.seconds
         val SYNC_RETRY = 100.milliseconds
+        val PROVE_RETRY = 300.milliseconds
     }
 }
--- a/src/main/kotlin/org/elderhitch/app/FeedFan.kt
+++ b/src/main/kotlin/org/elderhitch/app/FeedFan.kt
@@ -13,6 +13,7 @@
 import org.elderhitch.store.FeedListener
 import org.elderhitch.store.Keys
 import org.elderhitch.store.Revision
+import org.elderhitch.time.Moment
 import org.elderhitch.workers.Foreman
 import org.elderhitch.workers.ForemanMessage
 import org.elderhitch.workers.ImageHints
@@ -29,7 +30,7 @@
 ) : FeedListener {
     override fun snapshot(entries: List<Entry>, revision: Revision) {
         features().unserved(entries)?.let(onUnserved)
-        book.tell(JobMessage.Snapshot(entries))
+        book.tell(JobMessage.Snapshot(entries, revision))
         renter.tell(FleetMessage.Snapshot(entries))
         features().snapshot(entries)
         entries.firstOrNull { it.key == Keys.TYPES }?.let { catalog.stored(it) }
@@ -48,5 +49,8 @@
         leadership.tell(LeadershipMessage.LeaderSeen((last as? Change.Put)?.entry))
     }
 
+    /** By the same way as the changes before it, so that it reaches the leader's table after them. */
+    override fun proven(since: Moment) = book.tell(JobMessage.Proven(since))
+
     private fun hinted(entry: Entry) = foreman.tell(ForemanMessage.ImagesHinted(ImageHints.decode(entry.value)))
 }
--- a/src/main/kotlin/org/elderhitch/cluster/Cluster.kt
+++ b/src/main/kotlin/org/elderhitch/cluster/Cluster.kt
@@ -155,7 +155,7 @@
             return
         }
         val hello = decoded(answer.body, Hello.serializer()) ?: return
-        heard(hello)
+        heard(hello, asked)
         if (hello.wardenMs != 0L) named(state.peer.name, hello, asked)
     }
 
@@ -169,7 +169,8 @@
         ports.wardenNamed(Grant(Term(hello.term), leader, asked + span.shortened()))
     }
 
-    private fun heard(hello: Hello) {
+    /** [asked]: when the question was sent that this answers; null: the node spoke by itself. */
+    private fun heard(hello: Hello, asked: Moment?) {
         val node = NodeName(hello.node)
         val state = states[node]
         if (state == null) {
@@ -182,7 +183,7 @@
         if (hello.bound > 0) state.bound = Footprint(hello.bound)
         ports.termSeen(Term(hello.term))
         if (hello.leading) ports.leaderCounts(hello.running.mapNotNull { (id, n) -> JobId.parse(id)?.let { it to n } }.toMap())
-        formerTerms.heard(node, Incarnation(hello.run), Term(hello.term))
+        formerTerms.heard(node, Incarnation(hello.run), Term(hello.term), asked)
         checkFormer()
     }
 
@@ -199,7 +200,7 @@
             if (hello == null) {
                 HttpServer.refusal(BAD, "no hello")
             } else {
-                heard(hello)
+                heard(hello, asked = null)
                 val named = NodeName(hello.node).takeIf { it in states }?.let { ports.nameWarden(it) }
                 // Read after the wait: whoever lost the lead meanwhile names nobody.
                 val own = hello()
--- a/src/main/kotlin/org/elderhitch/jobs/JobBook.kt
+++ b/src/main/kotlin/org/elderhitch/jobs/JobBook.kt
@@ -12,6 +12,7 @@
 import org.elderhitch.store.Keys
 import org.elderhitch.store.Revision
 import org.elderhitch.store.Subject
+import org.elderhitch.time.Moment
 import org.slf4j.LoggerFactory
 
 /** How a job ended, as its own key keeps it for ever. [account]: null in endings that were written before there were accounts. */
@@ -51,7 +52,8 @@
 }
 
 public sealed interface JobMessage {
-    public data class Snapshot(val entries: List<Entry>) : JobMessage
+    /** All that was listed; what was recorded after [revision] may be missing. */
+    public data class Snapshot(val entries: List<Entry>, val revision: Revision) : JobMessage
     public data class Changed(val changes: List<Change>) : JobMessage
     public data class Lookup(val id: JobId, val reply: CompletableDeferred<Known>) : JobMessage
 
@@ -64,6 +66,9 @@
 
     /** How many tasks of each job run; the leader's word, for display. */
     public data class Running(val counts: Map<JobId, Int>) : JobMessage
+
+    /** All that was recorded at [since] has been told before. */
+    public data class Proven(val since: Moment) : JobMessage
 }
 
 /** What happens to jobs, for the leader's table. */
@@ -75,6 +80,9 @@
 
     /** [key]: what stands under the key of the job's hold; null: nothing does. */
     public data class Held(val id: JobId, val key: Hold?) : JobEvent
+
+    /** Nothing that had happened to any job at [since], on this node's clock, is missing from the events before this one. */
+    public data class Proven(val since: Moment) : JobEvent
 }
 
 /** The open jobs, and a bounded memory of ended ones; the state service remembers the rest. */
@@ -102,12 +110,13 @@
 
     override fun receive(message: JobMessage) {
         when (message) {
-            is JobMessage.Snapshot -> snapshot(message.entries)
+            is JobMessage.Snapshot -> snapshot(message.entries, message.revision)
             is JobMessage.Changed -> message.changes.forEach(::changed)
             is JobMessage.Lookup -> message.reply.complete(lookup(message.id))
             is JobMessage.Recorded -> opened(message.spec, message.version)
             is JobMessage.EndedHere -> ended(message.id, message.record)
             is JobMessage.AbsentHere -> if (message.epoch == epoch && lookup(message.id) is Known.Nothing) absent.put(message.id, Unit)
+            is JobMessage.Proven -> onEvent(JobEvent.Proven(message.since))
             is JobMessage.Running -> open.forEach { (id, job) -> job.running = message.counts[id] ?: 0 }
         }
     }
@@ -118,13 +127,13 @@
         return Known.Open(job.spec, job.version, Standing.open(job.finished.count, job.running), job.hold)
     }
 
-    private fun snapshot(entries: List<Entry>) {
+    private fun snapshot(entries: List<Entry>, revision: Revision) {
         // What began and ended since the last news is in no list.
         epoch++
         absent.invalidateAll()
         val present = entries.mapNotNull { (Keys.subject(it.key) as? Subject.Job)?.id }.toSet()
         // How these ended is not known here; whoever asks is answered from their own keys.
-        open.keys.filter { it !in present }.forEach { gone(it) }
+        open.values.filter { it.spec.id !in present && it.version <= revision }.forEach { gone(it.spec.id) }
         val held = entries.mapNotNull { (Keys.subject(it.key) as? Subject.Hold)?.id }.toSet()
         open.values.filter { it.hold != null && it.spec.id !in held }.forEach { hold(it.spec.id, null) }
         entries.sortedBy { if (Keys.subject(it.key) is Subject.Job) 0 else 1 }.forEach(::put)
@@ -148,7 +157,8 @@
             } catch (e: MalformedJson) {
                 log.error("job record malformed job={} reason=\"{}\"", subject.id, e.message)
             }
-            is Subject.End -> EndRecord.decode(entry.value)?.let { ended(subject.id, it) }
+            // Its job is neither open nor started again: the same transaction dropped its record. Whoever asks is told to ask later.
+            is Subject.End -> EndRecord.decode(entry.value)?.let { ended(subject.id, it) } ?: log.error("ending malformed key={}", entry.key)
             is Subject.Finished -> finished(subject, entry)
             is Subject.Hold -> Hold.decode(entry.value, entry.version)?.let { hold(subject.id, it) } ?: log.error("hold malformed key={}", entry.key)
             else -> Unit
--- a/src/main/kotlin/org/elderhitch/lab/Network.kt
+++ b/src/main/kotlin/org/elderhitch/lab/Network.kt
@@ -65,6 +65,27 @@
     /** Nodes refuse each other's connections. */
     var peersRefuse = false
 
+    /** Machines whose reports arrive, while answers and commands to them are lost. */
+    var deaf: Set<String> = emptySet()
+
+    /** Nodes that hear no answer to a watch, blocking or not, while the state service answers them all else. */
+    val watchless = HashSet<String>()
+
+    /** How long an answer of the state service takes, beyond the usual. */
+    var slowState: (Request) -> Duration = { Duration.ZERO }
+
+    /** After how long a copy of the next report arrives once more; null: none does. */
+    var lateCopies: () -> Duration? = { null }
+
+    /** How many copies of reports, and late commands and transactions, were carried out. */
+    var copies = 0
+        private set
+    var lateOnes = 0
+        private set
+
+    /** How long the answer to a command that was executed at once is on its way. */
+    var slowReplies: () -> Duration = { Duration.ZERO }
+
     /** How late the next command to a worker's own address is executed; null: at once. */
     var lateCommands: () -> Duration? = { null }
 
@@ -105,8 +126,12 @@
         if (peersRefuse && from in nodes && host in nodes) return null
         if (request.path == "/commit" && host == "state") astray(from, handler, request)
         val late = if (machine != null) slowReports() else Duration.ZERO
+        if (machine != null) lateCopies()?.let { by -> copied(by, to, handler, request) }
         val answer = if (late.isPositive()) handledLate(late, to, handler, request) else handled(host, handler, request)
         if (machine != null) delay(slowAnswers())
+        if (machine in deaf) delay(Duration.INFINITE)
+        if (host == "state" && from in watchless && request.path == "/watch") delay(Duration.INFINITE)
+        if (host == "state") delay(slowState(request))
         between(host, source)?.let { if (it.mode == CutMode.HOLD) it.over.await() else delay(Duration.INFINITE) }
         if (source in nodes) onWork(source, "answer")
         return answer
@@ -130,6 +155,15 @@
         return done.await()
     }
 
+    private fun copied(by: Duration, to: Address, handler: Handler, request: Request) {
+        outside.launch {
+            delay(by)
+            if (handlers[to.text] !== handler) return@launch
+            copies++
+            handled(to.host, handler, request)
+        }
+    }
+
     /** Watches stay open and wait, all else is told at once. */
     private suspend fun refusal(request: Request): Response {
         if (request.path == "/watch") delay(Duration.INFINITE)
@@ -155,6 +189,7 @@
             Fate.AnswerLost -> state.handle(request)
             is Fate.Late -> outside.launch {
                 delay(fate.by)
+                lateOnes++
                 state.handle(request)
             }
         }
@@ -169,11 +204,21 @@
             delay(connect)
             return Delivery.NotSent
         }
+        if (to.host in deaf) {
+            delay(timeout)
+            return Delivery.Unknown
+        }
         val late = lateCommands()
         if (late == null && cut == null) {
             // The machine may hang: then the caller gives up, and the command is carried out when it goes on.
             val done = CompletableDeferred<Response>()
-            outside.launch { workerAt(to)?.let { done.complete(it.handle(request)) } }
+            val back = slowReplies()
+            outside.launch {
+                workerAt(to)?.handle(request)?.let {
+                    delay(back)
+                    done.complete(it)
+                }
+            }
             val answer = withTimeoutOrNull(timeout) { done.await() }
             between(to.host, from)?.let { delay(timeout) }
             onWork(from, "answer")
@@ -182,6 +227,7 @@
         outside.launch {
             cut?.over?.await()
             delay(late ?: Duration.ZERO)
+            lateOnes++
             workerAt(to)?.handle(request)
         }
         delay(timeout)
--- a/src/main/kotlin/org/elderhitch/leadership/Leadership.kt
+++ b/src/main/kotlin/org/elderhitch/leadership/Leadership.kt
@@ -22,7 +22,6 @@
 import org.elderhitch.store.Write
 import org.elderhitch.time.Moment
 import org.elderhitch.time.SteadyClock
-import org.elderhitch.time.shortened
 import org.slf4j.LoggerFactory
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -39,12 +38,16 @@
     /** This node leads but can't do the work; another should. */
     public data class Resign(val reason: String) : LeadershipMessage
 
+    /** The leader's table holds all that was recorded at [since]. */
+    public data class Proven(val since: Moment) : LeadershipMessage
+
     public data object Wake : LeadershipMessage
 }
 
 /**
  * Claims the lead in one conditional transaction that raises the permanent counter and puts the leased leader key, and
- * then renews the lease. The window runs from when a renewal was sent, so it ends here before the lease ends there.
+ * then renews the lease. The window runs from when a renewal was sent, so it ends here before the lease ends there; and from when the last proof was
+ * sent that this node's table lacks nothing, if that is older: a lease says who leads, not that its holder knows what users were told.
  */
 public class Leadership(
     scope: CoroutineScope,
@@ -63,6 +66,12 @@
     private var highestSeen = Term.NONE
     private var notBefore = Moment.NEVER
 
+    /** When the last proof was sent that nothing is missing here, in whatever role. */
+    private var proven = Moment.NEVER
+
+    /** When the last renewal of the present term that succeeded was sent. */
+    private var renewed = Moment.NEVER
+
     public val tenure: StateFlow<Tenure> = state
 
     private data class LeaderRecord(val node: NodeName, val incarnation: Incarnation, val term: Term, val version: Revision)
@@ -77,6 +86,10 @@
             }
             is LeadershipMessage.TermSeen -> sawTerm(message.term)
             is LeadershipMessage.Resign -> resign(message.reason)
+            is LeadershipMessage.Proven -> if (message.since > proven) {
+                proven = message.since
+                entitle()
+            }
             LeadershipMessage.Wake -> Unit
         }
         maybeClaim()
@@ -194,18 +207,25 @@
     }
 
     private fun won(term: Term, version: Revision, lease: LeaseId, sent: Moment, former: Former?) {
-        val now = clock.now()
-        val windowEnd = sent + times.window.shortened()
         if (highestSeen > term) {
             log.info("claim outdated term={} seen={}", term, highestSeen)
             return
         }
         highestSeen = term
         log.info("term begins term={} node={} former={}", term, node, former?.node ?: "none")
-        state.value = Tenure.Leading(term, version, lease, windowEnd, windowEnd + times.hold, former, now)
+        renewed = sent
+        val rights = times.rights(renewed, proven)
+        state.value = Tenure.Leading(term, version, lease, rights.windowEnd, rights.holdEnd, former, clock.now())
         scope.launch { renew(term, lease) }
     }
 
+    /** What a leader may do, anew from both proofs. */
+    private fun entitle() {
+        val leading = state.value as? Tenure.Leading ?: return
+        val rights = times.rights(renewed, proven)
+        state.value = leading.copy(windowEnd = rights.windowEnd, holdEnd = rights.holdEnd)
+    }
+
     private suspend fun renew(term: Term, lease: LeaseId) {
         var pause = times.renewEvery
         while (true) {
@@ -218,8 +238,10 @@
             when (outcome) {
                 is LeaseOutcome.Held -> {
                     if (clock.now() > leading.windowEnd) log.info("window renewed late term={}", term)
-                    val windowEnd = sent + times.window.shortened()
-                    state.value = leading.copy(windowEnd = windowEnd, holdEnd = windowEnd + times.hold)
+                    renewed = sent
+                    entitle()
+                    // It holds the lease, so nobody else can lead; and without knowing what is recorded it may do nothing itself.
+                    if (sent - maxOf(proven, leading.claimedAt) > times.window * UNKNOWING_WINDOWS) tell(LeadershipMessage.Resign("nothing heard of what is recorded"))
                     pause = times.renewEvery
                 }
                 LeaseOutcome.Gone -> {
@@ -250,5 +272,8 @@
         val CLAIM_RETRY = 400.milliseconds
         val RENEW_RETRY = 300.milliseconds
         val RESIGN_PAUSE = 12.seconds
+
+        /** Renewals that are answered while nothing else is, for so many windows, are no matter of chance. */
+        const val UNKNOWING_WINDOWS = 2
     }
 }
--- a/src/main/kotlin/org/elderhitch/leadership/Tenure.kt
+++ b/src/main/kotlin/org/elderhitch/leadership/Tenure.kt
@@ -5,6 +5,7 @@
 import org.elderhitch.store.LeaseId
 import org.elderhitch.store.Revision
 import org.elderhitch.time.Moment
+import org.elderhitch.time.shortened
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -27,7 +28,7 @@
 
 /** The spans that leadership rests on, derived from the settings; docs/design.md argues for them. */
 public data class TenureTimes(
-    /** How long after a renewal was sent the leader may command. Also what the lease in the state service is given. */
+    /** How long after a renewal, and a proof of all that is recorded, was sent the leader may command. Also what the lease in the state service is given. */
     val window: Duration,
     /** How long past its window a leader still answers reports, without commands. */
     val hold: Duration,
@@ -35,6 +36,18 @@
     val roundBudget: Duration,
     val renewEvery: Duration,
 ) {
+    /** For how long a leader answers reports after it was last proven to lead and to know all, shortened by the drift. */
+    val answering: Duration get() = window.shortened() + hold
+
+    /**
+     * What a leader may do whose last renewal and whose last proof that its table lacks nothing were sent then: the older counts. The lease alone says who leads;
+     * a job withdrawn while the leader heard nothing was kept running, or started again, by a leader whose lease was fine.
+     */
+    public fun rights(renewed: Moment, proven: Moment): Rights {
+        val since = minOf(renewed, proven)
+        return Rights(since + window.shortened(), since + answering)
+    }
+
     public companion object {
         private val WINDOW = 4.seconds
         private val ROUND_BUDGET = 5.seconds
@@ -52,6 +65,9 @@
     }
 }
 
+/** Until when a leader may command, and until when it may answer reports. */
+public data class Rights(val windowEnd: Moment, val holdEnd: Moment)
+
 /** Who leads, as far as this node knows. Replaced as a whole, never changed. */
 public sealed interface Tenure {
     public data class Following(val leader: NodeName?, val term: Term) : Tenure
--- a/src/main/kotlin/org/elderhitch/store/Feed.kt
+++ b/src/main/kotlin/org/elderhitch/store/Feed.kt
@@ -4,6 +4,8 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
 import org.elderhitch.time.Moment
 import org.elderhitch.time.SteadyClock
 import org.slf4j.LoggerFactory
@@ -15,6 +17,9 @@
     public fun snapshot(entries: List<Entry>, revision: Revision)
 
     public fun changed(changes: List<Change>, revision: Revision)
+
+    /** All that the state service held at [since] has been passed on before this is called; [since] is when the request that proves it was sent. */
+    public fun proven(since: Moment) {}
 }
 
 /**
@@ -28,6 +33,9 @@
     private val listener: FeedListener,
 ) {
     private val log = LoggerFactory.getLogger("elderhitch.store")
+    private val loading = Mutex()
+
+    /** Null: not loaded, or the thread was lost and all is being read again. */
     private var revision: Revision? = null
     private var waiting = ArrayList<CompletableDeferred<Boolean>>()
     private var syncing = false
@@ -39,13 +47,14 @@
         scope.launch {
             while (true) {
                 val at = revision
+                val sent = clock.now()
                 if (at == null) {
-                    if (!load()) delay(RETRY)
+                    if (!load(null, sent)) delay(RETRY)
                     continue
                 }
                 when (val outcome = client.watch(Keys.ALL, at, WAIT, Purpose.LEADERSHIP)) {
-                    is WatchOutcome.Changes -> apply(outcome)
-                    WatchOutcome.TooOld -> load()
+                    is WatchOutcome.Changes -> if (!apply(outcome, at, sent)) delay(RETRY)
+                    WatchOutcome.TooOld -> load(at, clock.now())
                     WatchOutcome.Unavailable -> delay(RETRY)
                 }
             }
@@ -75,7 +84,7 @@
                 waiting = ArrayList()
                 var fresh = false
                 try {
-                    fresh = syncOnce()
+                    fresh = syncOnce(Purpose.END)
                 } finally {
                     served.forEach { it.complete(fresh) }
                 }
@@ -85,19 +94,24 @@
         }
     }
 
-    private suspend fun syncOnce(): Boolean {
+    /** A [sync] that waits for nobody else's, and comes before all but renewals: for whoever leads. */
+    public suspend fun prove(): Boolean = syncOnce(Purpose.LEADERSHIP)
+
+    private suspend fun syncOnce(purpose: Purpose): Boolean {
         val at = revision ?: return false
-        return when (val outcome = client.watch(Keys.ALL, at, kotlin.time.Duration.ZERO, Purpose.END)) {
-            is WatchOutcome.Changes -> {
-                apply(outcome)
-                true
-            }
-            WatchOutcome.TooOld -> load()
+        val sent = clock.now()
+        return when (val outcome = client.watch(Keys.ALL, at, kotlin.time.Duration.ZERO, purpose)) {
+            is WatchOutcome.Changes -> apply(outcome, at, sent)
+            WatchOutcome.TooOld -> load(at, sent)
             WatchOutcome.Unavailable -> false
         }
     }
 
-    private suspend fun load(): Boolean {
+    /** Reads all again, unless that was done since the thread was lost at [lost]. False: it wasn't read by this call. */
+    private suspend fun load(lost: Revision?, sent: Moment): Boolean = loading.withLock {
+        if (revision != lost) return false
+        // Answers that are still on their way belong to the thread that was lost: they must not join what is read now.
+        revision = null
         val entries = ArrayList<Entry>()
         var first: Revision? = null
         var after: String? = null
@@ -113,16 +127,28 @@
         log.info("store loaded entries={} revision={}", entries.size, from)
         revision = from
         listener.snapshot(entries, from)
+        listener.proven(sent)
         return true
     }
 
-    private fun apply(news: WatchOutcome.Changes) {
+    /**
+     * Takes in the answer to a request for what changed after [asked], which was sent at [sent]. False: it tells nothing. A reload may have gone back to before
+     * [asked]: what lies between is in no answer to that request (`docs/incidents/reload-race.md`). And an answer older than what was known when it was asked for is none of a consistent store.
+     */
+    private fun apply(news: WatchOutcome.Changes, asked: Revision, sent: Moment): Boolean {
+        val known = revision ?: return false
+        if (asked > known) return false
+        if (news.revision < asked) {
+            log.error("state answer older than known asked={} answered={}", asked, news.revision)
+            return false
+        }
         // A watch and a sync may bring the same changes: each is passed on once.
-        val known = revision ?: return
-        if (news.revision <= known) return
-        revision = news.revision
-        val fresh = news.changes.filter { it.version > known }.sortedBy { it.version }
-        listener.changed(fresh, news.revision)
+        if (news.revision > known) {
+            revision = news.revision
+            listener.changed(news.changes.filter { it.version > known }.sortedBy { it.version }, news.revision)
+        }
+        listener.proven(sent)
+        return true
     }
 
     private companion object {
--- a/src/main/kotlin/org/elderhitch/wardens/FormerTerms.kt
+++ b/src/main/kotlin/org/elderhitch/wardens/FormerTerms.kt
@@ -1,9 +1,11 @@
 package org.elderhitch.wardens
 
+import org.elderhitch.leadership.Former
 import org.elderhitch.leadership.Incarnation
 import org.elderhitch.leadership.Tenure
 import org.elderhitch.leadership.Term
 import org.elderhitch.settings.NodeName
+import org.elderhitch.time.Moment
 
 /**
  * When nobody answers workers in the name of an earlier term any more: a former leader past its window, or a warden of one. It takes the word of every
@@ -12,28 +14,38 @@
  */
 public class FormerTerms(private val peers: Set<NodeName>) {
     private val terms = HashMap<NodeName, Term>()
-    private val runs = HashMap<NodeName, Incarnation>()
+    private val runs = HashMap<NodeName, Run>()
 
-    /** A controller has told of itself. What it knows it doesn't forget within a run; and a new run answers nobody before it knows of a term. */
-    public fun heard(node: NodeName, run: Incarnation, term: Term) {
+    private class Run(val of: Incarnation, val asked: Moment)
+
+    /**
+     * A controller has told of itself. What it knows it doesn't forget within a run; and a new run answers nobody before it knows of a term.
+     * [asked]: when the question was sent that it answered; null: it spoke by itself, and what it says of its run may have been held up for minutes.
+     */
+    public fun heard(node: NodeName, run: Incarnation, term: Term, asked: Moment?) {
         if (node !in peers) return
-        runs[node] = run
+        if (asked != null && runs[node].let { it == null || it.asked < asked }) runs[node] = Run(run, asked)
         terms.merge(node, term, ::maxOf)
     }
 
+    /**
+     * Whether the run that led before [leading] has ended: another run of its node answered a question that was sent after the claim. Another run that was heard of
+     * *before* may be the one before it: of a node that was cut off from this one while it started anew and led.
+     */
+    private fun hasEnded(former: Former, leading: Tenure.Leading): Boolean = runs[former.node].let { it != null && it.of != former.incarnation && it.asked >= leading.claimedAt }
+
     /**
      * Whether the run that led before has ended: whoever reported to it has noticed by now, and tries the next controller. It says nothing of wardens. A former
      * leader that is no other controller was this node itself.
      */
     public fun formerEnded(leading: Tenure.Leading): Boolean {
         val former = leading.former ?: return true
-        return former.node !in peers || runs[former.node].let { it != null && it != former.incarnation }
+        return former.node !in peers || hasEnded(former, leading)
     }
 
     /** A run that was started after the claim, of the node that led before, has ended the one that did. */
     public fun allStopped(leading: Tenure.Leading): Boolean = peers.all { peer ->
         val former = leading.former
-        terms[peer].let { it != null && it >= leading.term } ||
-            former != null && former.node == peer && runs[peer].let { it != null && it != former.incarnation }
+        terms[peer].let { it != null && it >= leading.term } || former != null && former.node == peer && hasEnded(former, leading)
     }
 }
--- a/src/main/kotlin/org/elderhitch/wardens/Promises.kt
+++ b/src/main/kotlin/org/elderhitch/wardens/Promises.kt
@@ -1,6 +1,7 @@
 package org.elderhitch.wardens
 
 import org.elderhitch.leadership.Tenure
+import org.elderhitch.leadership.TenureTimes
 import org.elderhitch.leadership.Term
 import org.elderhitch.settings.Zone
 import org.elderhitch.time.Moment
@@ -13,7 +14,7 @@
     public val unheard: Int?,
     /** Workers there that name tasks of jobs that are not open. */
     public val strangers: Int,
-    /** When the end of a job came to be known that still has tasks there; null: there is no such job. */
+    /** Of the ended jobs that still have tasks there, the earliest moment that an ending may have been recorded after; null: there is no such job. */
     public val oldestEnd: Moment?,
 )
 
@@ -24,7 +25,7 @@
  * What a leader has promised in the name of wardens: until when one may answer the workers of its zone. A promise is written down here before the
  * warden hears of it and is never taken back, only outlived (`docs/design/recovery.md`).
  */
-public class Promises {
+public class Promises(private val times: TenureTimes) {
     private val until = HashMap<Zone, Moment>()
 
     /** Promises of earlier terms are counted in the takeover's longest time: none outlasts the hold time of the leader that gave it. */
@@ -35,28 +36,20 @@
 
     /** Names a warden of the zone from [now] on. For how long, or null: not now, what was promised before holds. */
     public fun name(leading: Tenure.Leading, zone: Zone, standing: ZoneStanding, now: Moment): Named? {
-        val end = leading.holdEnd - MARGIN
+        // An ending that was read and not carried out is worth as little as one that wasn't read: a warden's answers keep its tasks, so they end as early
+        // as if nothing were known since.
+        val end = minOf(leading.holdEnd, (standing.oldestEnd ?: Moment.FOREVER) + times.answering) - MARGIN
         if (!mayName(leading, standing, now) || end <= now) return null
         until.merge(zone, end, ::maxOf)
         return Named(leading.term, end - now)
     }
 
     public companion object {
-        /**
-         * How long the end of a job may be known while its tasks have not been seen to go. A warden's answers keep such a task alive, and they reach from the
-         * last promise to `cancel_s - MARGIN - 2 s` past it, all leases included: what this adds must stay below that.
-         */
-        internal val UNSTOPPED: Duration = 2.seconds
-
         /** By so much a warden stops answering before its leader would. */
         internal val MARGIN: Duration = 1.seconds
 
-        /**
-         * A task whose end its leader knows, and could not bring about yet, must not be kept alive by a warden: nor one that it can't know of, on a machine
-         * that has not been heard in this term.
-         */
+        /** A task that should be stopped and that its leader can't know of, on a machine that has not told it, must not be kept alive by a warden. */
         internal fun mayName(leading: Tenure.Leading, standing: ZoneStanding, now: Moment): Boolean =
-            leading.mayCommand(now) && standing.unheard == 0 && standing.strangers == 0 &&
-                (standing.oldestEnd == null || now - standing.oldestEnd <= UNSTOPPED)
+            leading.mayCommand(now) && standing.unheard == 0 && standing.strangers == 0
     }
 }
--- a/src/main/kotlin/org/elderhitch/workers/CommandList.kt
+++ b/src/main/kotlin/org/elderhitch/workers/CommandList.kt
@@ -9,13 +9,9 @@
      * For the answer to a report: stops, then starts, then what may be forgotten. What an answer can't hold stays as it is
      * for the next one: a start that counted as sent and was cut off at the end would be waited for in vain.
      */
-    fun of(worker: WorkerState, now: Moment): List<Command> {
+    fun of(worker: WorkerState, now: Moment, endings: List<Command> = emptyList()): List<Command> {
         table.undelivered.remove(worker)
-        val list = ArrayList<Command>()
-        for (task in worker.tasks) {
-            // Only recorded jobs are ever started: one that isn't open has ended.
-            if (task.phase != TaskPhase.EXITED && task.task.job !in table.jobs) list.add(Command.Stop(task.task, task.attempt, Duration.ZERO))
-        }
+        val list = ArrayList(endings)
         val placements = worker.placements.values.toList()
         placements.forEach { p -> p.stop?.let { stop(p, it, list) } }
         for (p in placements) {
@@ -37,6 +33,23 @@
         return if (list.size > MAX_COMMANDS) list.subList(0, MAX_COMMANDS) else list
     }
 
+    /**
+     * The stops of all tasks on the worker, as it reports or was heard to have since, whose job's ending has been read: they go with every answer, since an ending is
+     * permanent and a worker that is answered without them keeps such tasks. Null: they can't all be told, so nothing may renew its lease. That is so if it names a
+     * job which may have ended before what is known here, and if a start of an ended job is on its way to it, which only a leader inside its window may cut short.
+     */
+    fun endings(worker: WorkerState, named: List<TaskReport>, complete: Boolean, mayStart: Boolean): List<Command>? {
+        val stops = LinkedHashSet<Command>()
+        for (task in named + worker.tasks) {
+            if (task.phase != TaskPhase.EXITED && table.hasEnded(task.task.job, complete) ?: return null) stops.add(Command.Stop(task.task, task.attempt, Duration.ZERO))
+        }
+        for (p in worker.placements.values) {
+            if (table.jobs[p.task.job]?.ended == false || p.certainty == Certainty.ASSIGNED) continue
+            if (p.certainty == Certainty.REPORTED) stops.add(Command.Stop(p.task, p.attempt, Duration.ZERO)) else if (p.onItsWay && !mayStart) return null
+        }
+        return stops.toList().takeIf { it.size <= MAX_COMMANDS }
+    }
+
     private fun stop(p: Placement, grace: Duration, list: MutableList<Command>) {
         // A start on its way can't be taken back; once the worker has it, a late copy does nothing.
         if (p.onItsWay && p.certainty == Certainty.SENT) {
@@ -45,7 +58,8 @@
         }
         if (p.certainty == Certainty.REPORTED && (p.phase != TaskPhase.SAVING || grace == Duration.ZERO) || p.onItsWay) {
             p.stopSent = true
-            list.add(Command.Stop(p.task, p.attempt, grace))
+            val stop = Command.Stop(p.task, p.attempt, grace)
+            if (stop !in list) list.add(stop)
         }
     }
 
--- a/src/main/kotlin/org/elderhitch/workers/Conversation.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Conversation.kt
@@ -43,23 +43,29 @@
         if (order != null && report.order <= order) {
             // But one that a command to the worker's own address has overtaken is no late one: it waits for its answer.
             if (now - worker.calledAt > WorkerTimes.ANSWER_WAIT) return ReportAnswer.Elsewhere(null)
-            worker.answered(now)
-            return ReportAnswer.Accepted(leading.term, emptyList())
+            val stops = commands.endings(worker, report.tasks, tableComplete, mayStart = false) ?: return ReportAnswer.Elsewhere(null)
+            renew(leading, worker, report, now)
+            return ReportAnswer.Accepted(leading.term, stops)
         }
         heard(leading, worker, report, now)
+        val obeys = report.term == leading.term
+        if (obeys && tableComplete) settle(worker, report) else if (!obeys && takeover.closing(now)) return ReportAnswer.Elsewhere(null)
+        val mayCommand = obeys && tableComplete && leading.mayCommand(now)
+        val stops = commands.endings(worker, report.tasks, tableComplete, mayCommand) ?: return ReportAnswer.Elsewhere(null)
         // It is answered in any case, so its session goes on: the round may give it something in this very answer.
-        worker.answered(now)
+        renew(leading, worker, report, now)
         // It may still execute an earlier leader's command; its list counts once it has seen our term. And without the
         // jobs its tasks can't be judged: it is kept, and its next report is.
-        val commands = if (report.term == leading.term && tableComplete) {
-            settle(worker, report)
-            // Room that this report brings is given away in its own answer: the next report may be seconds off.
-            round(worker)
-            if (leading.mayCommand(now)) commands.of(worker, now).also { given(worker, it, now) } else emptyList()
-        } else {
-            emptyList()
-        }
-        return ReportAnswer.Accepted(leading.term, commands)
+        if (!mayCommand) return ReportAnswer.Accepted(leading.term, stops)
+        // Room that this report brings is given away in its own answer: the next report may be seconds off.
+        round(worker)
+        return ReportAnswer.Accepted(leading.term, commands.of(worker, now, stops).also { given(worker, it, now) })
+    }
+
+    /** The report is being answered, so its session goes on. */
+    private fun renew(leading: Tenure.Leading, worker: WorkerState, report: Report, now: Moment) {
+        worker.answered(now)
+        if (report.term < leading.term) takeover.answered(worker.id, now)
     }
 
     private fun worker(report: Report, now: Moment): WorkerState =
--- a/src/main/kotlin/org/elderhitch/workers/Foreman.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Foreman.kt
@@ -14,6 +14,7 @@
 import org.elderhitch.jobs.JobEvent
 import org.elderhitch.jobs.JobId
 import org.elderhitch.jobs.TaskId
+import org.elderhitch.leadership.LeadershipMessage
 import org.elderhitch.leadership.Tenure
 import org.elderhitch.leadership.TenureTimes
 import org.elderhitch.leadership.Term
@@ -70,7 +71,7 @@
     private val wakefulness = Wakefulness(TICK)
     private val inquiry = Inquiry(table, takeover, workerTimes, wakefulness, ports, squares.orders)
     private val roster = Roster()
-    private val wardens = ZoneWardens(own, nodeZones, table, takeover, roster, ports)
+    private val wardens = ZoneWardens(own, nodeZones, times, table, takeover, roster, ports)
     private val silence = Silence(table, takeover, workerTimes, leases, TICK, nodeZones.values.toSet(), inquiry, wakefulness, events, ports, wardens, silentReturnShare)
     private val consolidation = Consolidation(table)
     private val feed = RoundFeed(table, faults, teams, objectives)
@@ -110,6 +111,10 @@
         }
     }
 
+    /** What is known of jobs and of the term comes before what waits for it: behind a row of reports each would be judged by older knowledge than there is. */
+    override fun isUrgent(message: ForemanMessage): Boolean =
+        message is ForemanMessage.Job || message is ForemanMessage.TenureIs || message is ForemanMessage.TableComplete
+
     override fun receive(message: ForemanMessage) {
         when (message) {
             is ForemanMessage.ReportIn -> message.reply.complete(report(message.report))
@@ -200,7 +205,7 @@
     }
 
     private fun jobEvent(event: JobEvent) {
-        table.dirty = true
+        if (event !is JobEvent.Proven) table.dirty = true
         when (event) {
             is JobEvent.Opened -> {
                 log.debug("job opened job={} class={} tasks={} image={}", event.spec.id, event.spec.jobClass, event.spec.tasks, event.spec.image)
@@ -223,6 +228,10 @@
                 table.end(job)
             }
             is JobEvent.Held -> holds.heard(leading(), event.id, event.key)
+            is JobEvent.Proven -> {
+                table.proven = event.since
+                ports.leadership(LeadershipMessage.Proven(event.since))
+            }
         }
     }
 
--- a/src/main/kotlin/org/elderhitch/workers/Takeover.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Takeover.kt
@@ -22,6 +22,12 @@
     private var silent: HashSet<MachineId>? = null
     private var end = Moment.FOREVER
 
+    /**
+     * When this term last answered a report of a machine that did not know it yet. Such an answer renews what an earlier term started, so the leases that end
+     * by [end] are those of machines that were not answered: without this a task was started anew whose machine had come back just before.
+     */
+    private val renewed = HashMap<MachineId, Moment>()
+
     var settled = false
         private set
 
@@ -34,6 +40,7 @@
     fun begin(leading: Tenure.Leading) {
         term = leading.term
         silent = null
+        renewed.clear()
         settled = leading.former == null
         formerEnded = leading.former == null
         end = leases.overAfterClaim(leading.claimedAt, times)
@@ -43,10 +50,20 @@
         silent = HashSet(machines)
     }
 
+    /** It is settled: it has told this term what is on it, or is gone. */
     fun heard(machine: MachineId) {
         silent?.remove(machine)
+        renewed.remove(machine)
     }
 
+    /** A report of a machine that didn't know this term is being answered, which came at [at]. */
+    fun answered(machine: MachineId, at: Moment) {
+        if (!settled) renewed[machine] = at
+    }
+
+    /** Machines that still don't know this term get no more answers, or a deaf one would keep the takeover from ever ending. They hear of the term by being asked. */
+    fun closing(now: Moment): Boolean = !settled && now > end
+
     /** The former leader has surely stopped answering workers: each lease that it kept alive ends from now on. */
     fun formerStopped() {
         if (!settled) end = minOf(end, leases.overAfter(clock.now()))
@@ -55,7 +72,8 @@
     /** True when the takeover has just ended. */
     fun check(): Boolean {
         if (settled) return false
-        val overdue = clock.now() > end
+        val now = clock.now()
+        val overdue = now > end && renewed.values.all { now > leases.overAfter(it) }
         if (!overdue && silent?.isEmpty() != true) return false
         log.info("takeover settled term={} by={}", term, if (overdue) "leases over" else "reports")
         settled = true
--- a/src/main/kotlin/org/elderhitch/workers/TaskTable.kt
+++ b/src/main/kotlin/org/elderhitch/workers/TaskTable.kt
@@ -17,6 +17,9 @@
     /** Told when a task that this term started has completed. */
     var onDone: (JobState, Placement) -> Unit = { _, _ -> }
 
+    /** Nothing that had happened to any job then is missing here. */
+    var proven = Moment.NEVER
+
     val jobs = LinkedHashMap<JobId, JobState>()
     val workers = HashMap<MachineId, WorkerState>()
 
@@ -140,10 +143,13 @@
     /** What a task takes of a job that ended lately; null: it is not known. */
     fun departed(id: JobId): JobSpec? = departed[id]?.first
 
+    /** Whether the ending of a job that a worker names has been read here; null: it is not open here, and may have been recorded after what is known. */
+    fun hasEnded(id: JobId, complete: Boolean): Boolean? = named(id)?.ended ?: if (complete || id in departed) true else null
+
     fun end(job: JobState) {
-        if (!job.ended) job.endedAt = clock.now()
+        if (!job.ended) job.endedAfter = proven
         job.ended = true
-        for (p in job.placements.values.toList()) stop(job, p, Duration.ZERO)
+        for (p in job.everywhere().toList()) stop(job, p, Duration.ZERO)
         if (job.placements.isEmpty()) depart(job)
     }
 
--- a/src/main/kotlin/org/elderhitch/workers/WorkerState.kt
+++ b/src/main/kotlin/org/elderhitch/workers/WorkerState.kt
@@ -202,8 +202,8 @@
     var blockVersions: Map<Int, Revision> = emptyMap()
     var ended = false
 
-    /** When its end came to be known here. */
-    var endedAt: Moment = Moment.FOREVER
+    /** Its ending was not recorded yet when this was proven: no user was told of it before. */
+    var endedAfter: Moment = Moment.FOREVER
     val gang = GangState()
     val erredOn = HashSet<MachineId>()
     var notBefore: Moment = Moment.NEVER
--- a/src/main/kotlin/org/elderhitch/workers/ZoneWardens.kt
+++ b/src/main/kotlin/org/elderhitch/workers/ZoneWardens.kt
@@ -1,6 +1,7 @@
 package org.elderhitch.workers
 
 import org.elderhitch.leadership.Tenure
+import org.elderhitch.leadership.TenureTimes
 import org.elderhitch.settings.NodeName
 import org.elderhitch.settings.Zone
 import org.elderhitch.time.Moment
@@ -10,18 +11,20 @@
 import org.elderhitch.wardens.Warden
 import org.elderhitch.wardens.ZoneStanding
 import org.slf4j.LoggerFactory
+import kotlin.time.Duration
 
 /** Wardens as the foreman has them: as a leader it names those of its zones, as a follower it may be one. */
 internal class ZoneWardens(
     own: NodeName,
     private val zoneOf: Map<NodeName, Zone>,
+    times: TenureTimes,
     private val table: TaskTable,
     private val takeover: Takeover,
     private val roster: Roster,
     private val ports: ForemanPorts,
 ) {
     private val log = LoggerFactory.getLogger("elderhitch.workers")
-    private val promises = Promises()
+    private val promises = Promises(times)
     private val zone = zoneOf[own] ?: Zone("")
     private val warden = Warden(zone)
     private var answering = false
@@ -46,7 +49,9 @@
 
     private fun standing(zone: Zone): ZoneStanding {
         val ended = table.jobs.values.filter { job -> job.ended && job.everywhere().any { it.zone == zone } }
-        return ZoneStanding(takeover.hidingIn(zone, roster.known), table.workers.values.count { it.zone == zone && it.strangers.isNotEmpty() }, ended.minOfOrNull { it.endedAt })
+        val its = table.workers.values.filter { it.zone == zone }
+        val unheard = takeover.hidingIn(zone, roster.known)?.let { hiding -> hiding + its.count { !it.settled } }
+        return ZoneStanding(unheard, its.count { it.strangers.isNotEmpty() }, ended.minOfOrNull { it.endedAfter })
     }
 
     fun named(grant: Grant) = warden.named(grant)
@@ -69,6 +74,8 @@
                 log.info("warden rests zone={}", zone)
             }
         }
-        return term?.let { ReportAnswer.Accepted(it, emptyList()) }
+        // Of a job that isn't open here nothing is known for sure; of one that was seen to end, everything.
+        val ended = report.tasks.filter { it.phase != TaskPhase.EXITED && table.hasEnded(it.task.job, complete = false) == true }
+        return term?.let { ReportAnswer.Accepted(it, ended.map { task -> Command.Stop(task.task, task.attempt, Duration.ZERO) }) }
     }
 }
--- /dev/null
+++ b/src/test/kotlin/org/elderhitch/app/KnowledgeMeetingsTest.kt
@@ -0,0 +1,154 @@
+package org.elderhitch.app
+
+import kotlinx.coroutines.delay
+import org.elderhitch.lab.CutMode
+import org.elderhitch.lab.WorldSettings
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Meetings of troubles in which a leader doesn't know, or can't carry out, what users were told (`docs/design/meetings.md`). */
+class KnowledgeMeetingsTest {
+    /** The operators' day in small: the leader alone is refused, another node confirms, and then nobody is answered for longer than `cancel_s`. */
+    @Test
+    fun `tasks withdrawn while the leader alone is refused are gone in time through an outage for all`() = meetings(1L..6L) { seed ->
+        submit("req-1", "array", 10, 300.0)
+        submit("req-2", "daemon", 6, 0.0)
+        untilRunning("req-1", 10)
+        val leader = assertNotNull(world.leader())
+        world.network.refused.add(leader)
+        delay((seed * 400).milliseconds)
+        withdraw("req-1", world.names.first { it != leader })
+        assertEquals(10, running("req-1"), "the leader had not heard of it")
+        delay(200.milliseconds)
+        world.platform.state.down = true
+        delay(11.seconds)
+        world.network.refused.remove(leader)
+        delay(cancel + 1.seconds)
+        assertEquals(0, running("req-1"))
+        world.platform.state.down = false
+        world.until("the service is back", 60.seconds) { running("req-2") == 6 }
+        delay(cancel)
+        assertEquals(0, running("req-1"))
+    }
+
+    /** (a) Renewals say who leads, not what was recorded: without a proof of that a leader kept withdrawn tasks for as long as its watch was silent. */
+    @Test
+    fun `a leader that renews its lease and hears no changes neither keeps withdrawn tasks nor the lead`() = meetings(1L..3L) {
+        submit("req-1", "array", 10, 300.0)
+        untilRunning("req-1", 10)
+        val leader = assertNotNull(world.leader())
+        world.network.watchless.add(leader)
+        delay(3.seconds)
+        withdraw("req-1", world.names.first { it != leader })
+        delay(cancel + 1.seconds)
+        assertEquals(0, running("req-1"))
+        assertNotEquals(leader, world.leader(), "it renewed its lease and could do nothing")
+        submit("req-2", "array", 2, 5.0)
+        world.until("others serve", 60.seconds) { poll("req-2", world.names.first { it != leader }); rules.finalOf("req-2") == "done" }
+    }
+
+    /** (b) After an outage the lease has its full time again at once; what was withdrawn before it comes with the next watch. */
+    @Test
+    fun `a leader whose lease is back before its knowledge starts nothing that was withdrawn`() = meetings(1L..3L) { seed ->
+        submit("req-1", "array", 10, 300.0)
+        untilRunning("req-1", 10)
+        val leader = assertNotNull(world.leader())
+        world.network.refused.add(leader)
+        delay(1.seconds)
+        withdraw("req-1", world.names.first { it != leader })
+        world.platform.state.down = true
+        world.network.refused.remove(leader)
+        delay(cancel + 5.seconds)
+        assertEquals(0, running("req-1"), "its leases are over")
+        val starts = world.startsOf.values.sum()
+        // The lease is renewed at once, while all that changed takes some seconds to be told.
+        world.network.slowState = { if (it.path == "/watch") (2 + seed).seconds else Duration.ZERO }
+        world.platform.state.down = false
+        delay(12.seconds)
+        world.network.slowState = { Duration.ZERO }
+        delay(10.seconds)
+        assertEquals(starts, world.startsOf.values.sum(), "nothing of it was started again")
+    }
+
+    /** (c) The leader knows that a task should go, its stop is lost, and past its window its answers carried none. */
+    @Test
+    fun `a stop that a deaf worker did not hear goes with the answers that a leader past its window gives`() = meetings(1L..4L) { seed ->
+        submit("req-1", "array", 10, 300.0)
+        untilRunning("req-1", 10)
+        val leader = assertNotNull(world.leader())
+        world.network.deaf = hosts("req-1").values.toSet()
+        delay(500.milliseconds)
+        withdraw("req-1", world.names.first { it != leader })
+        delay(4.seconds + (seed * 300).milliseconds)
+        world.platform.state.down = true
+        delay(1.seconds)
+        assertEquals(10, running("req-1"), "the stops were lost")
+        world.network.deaf = emptySet()
+        world.until("gone by the answers of a leader that may start nothing", 10.seconds) { running("req-1") == 0 }
+        delay(cancel)
+        world.platform.state.down = false
+        delay(20.seconds)
+    }
+
+    /** (d) Each of two leaders answered for a hold time of its own, and neither with a stop: the first didn't know, the second answered whom it had not settled. */
+    @Test
+    fun `a chain of leaders keeps a withdrawn task for no longer than one`() = meetings(1L..4L) { seed ->
+        submit("req-1", "array", 10, 300.0)
+        untilRunning("req-1", 10)
+        val first = assertNotNull(world.leader())
+        val others = world.names - first
+        // It loses the state service and the other controllers; users and workers reach it.
+        cutOff(first, if (seed % 2 == 0L) CutMode.HOLD else CutMode.RESET, "state", *others.toTypedArray())
+        delay(500.milliseconds)
+        withdraw("req-1", others.first())
+        world.until("another leads", 15.seconds) { world.leader() in others }
+        assertEquals(10, running("req-1"), "workers stay with the first")
+        // What the second asks them at their own addresses is lost, until it is past its window as well.
+        world.network.pairs.addAll(others.map { it to "workers" })
+        delay((8 + seed * 2).seconds)
+        world.platform.state.down = true
+        delay(2.seconds)
+        delay(cancel - 12.seconds)
+        world.platform.state.down = false
+        delay(10.seconds)
+        assertEquals(0, running("req-1"))
+    }
+
+    /** (e) What a leader hears of late it has known for a moment only: a warden named in that moment kept its tasks as if users had just been told. */
+    @Test
+    fun `a zone that is cut off when its leader learns of an old withdrawal is kept for no longer than that allows`() =
+        meetings(1L..3L, { WorldSettings(it, reportS = 3.0, machinesPerZone = 12, mostGpus = 60.0, leaseS = 17.5, nodeZones = listOf("a", "a", "b")) }) { seed ->
+            submit("req-1", "daemon", 8, 0.0, mapOf("cores" to 40.0, "spread" to true))
+            untilRunning("req-1", 8)
+            if (world.leader() == "n2") {
+                world.crash("n2")
+                world.until("another leads", 30.seconds) { world.leader().let { it != null && it != "n2" } }
+                world.startNode("n2")
+            }
+            delay(20.seconds)
+            val leader = assertNotNull(world.leader())
+            val there = hosts("req-1").values.filter { world.machine(it)?.zone == "b" }.toSet()
+            assertTrue(there.isNotEmpty())
+            world.network.refused.add(leader)
+            delay(1.seconds)
+            withdraw("req-1", world.names.first { it != leader && it != "n2" })
+            world.platform.state.down = true
+            world.network.refused.remove(leader)
+            delay((14 + seed).seconds)
+            // The workers of zone b don't hear the stops that the leader sends as soon as it knows.
+            world.network.deaf = there
+            world.platform.state.down = false
+            delay(1500.milliseconds)
+            assertTrue(hosts("req-1").values.any { it in there })
+            cut(CutMode.RESET) { a, b -> (world.zoneOf(a) == "b") != (world.zoneOf(b) == "b") }
+            world.network.deaf = emptySet()
+            delay(cancel)
+            assertEquals(0, running("req-1"))
+        }
+}
--- a/src/test/kotlin/org/elderhitch/leadership/LeadershipTest.kt
+++ b/src/test/kotlin/org/elderhitch/leadership/LeadershipTest.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
 import org.elderhitch.http.Address
@@ -50,12 +51,20 @@
                     val last = changes.lastOrNull { it.key == Keys.LEADER } ?: return
                     leadership.tell(LeadershipMessage.LeaderSeen((last as? Change.Put)?.entry))
                 }
+
+                override fun proven(since: Moment) = leadership.tell(LeadershipMessage.Proven(since))
             },
         )
 
         init {
             leadership.start()
             feed.start()
+            scope.launch {
+                while (true) {
+                    feed.prove()
+                    delay(times.renewEvery)
+                }
+            }
         }
     }
 
