--- a/src/main/kotlin/org/elderhitch/app/Controller.kt
+++ b/src/main/kotlin/org/elderhitch/app/Controller.kt
@@ -48,8 +48,8 @@
 import org.elderhitch.time.Moment
 import org.elderhitch.time.SteadyClock
 import org.elderhitch.time.WallClock
-import org.elderhitch.wardens.Grant
-import org.elderhitch.wardens.Named
+import org.elderhitch.delegates.Grant
+import org.elderhitch.delegates.Named
 import org.elderhitch.workers.Foreman
 import org.elderhitch.workers.ForemanMessage
 import org.elderhitch.workers.MachineId
@@ -237,9 +237,9 @@
 
         override fun formerStopped(term: Term) = foreman.tell(ForemanMessage.FormerStopped(term))
 
-        override suspend fun nameWarden(node: NodeName): Named? = leaderDesk.nameWarden(node)
+        override suspend fun nameDelegate(node: NodeName): Named? = leaderDesk.nameDelegate(node)
 
-        override fun wardenNamed(grant: Grant) = foreman.tell(ForemanMessage.WardenNamed(grant))
+        override fun delegateNamed(grant: Grant) = foreman.tell(ForemanMessage.DelegateNamed(grant))
 
         override val longestGrant: Duration = times.window + times.hold
 
--- a/src/main/kotlin/org/elderhitch/app/LeaderDesk.kt
+++ b/src/main/kotlin/org/elderhitch/app/LeaderDesk.kt
@@ -14,7 +14,7 @@
 import org.elderhitch.json.MalformedJson
 import org.elderhitch.leadership.Tenure
 import org.elderhitch.settings.NodeName
-import org.elderhitch.wardens.Named
+import org.elderhitch.delegates.Named
 import org.elderhitch.workers.Foreman
 import org.elderhitch.workers.ForemanMessage
 import org.elderhitch.workers.HoldAnswer
@@ -62,7 +62,7 @@
     public suspend fun survey(): Map<TaskId, MachineId>? = here { ForemanMessage.Survey(it) }
 
     /** Null: not now, or this node doesn't lead. */
-    public suspend fun nameWarden(node: NodeName): Named? = here { ForemanMessage.NameWarden(node, it) }
+    public suspend fun nameDelegate(node: NodeName): Named? = here { ForemanMessage.NameDelegate(node, it) }
 
     /** Open jobs that failed wherever they were tried; null: no leader answers. */
     public suspend fun atFault(): Set<JobId>? {
--- a/src/main/kotlin/org/elderhitch/cluster/Cluster.kt
+++ b/src/main/kotlin/org/elderhitch/cluster/Cluster.kt
@@ -24,9 +24,9 @@
 import org.elderhitch.time.Moment
 import org.elderhitch.time.SteadyClock
 import org.elderhitch.time.shortened
-import org.elderhitch.wardens.FormerTerms
-import org.elderhitch.wardens.Grant
-import org.elderhitch.wardens.Named
+import org.elderhitch.delegates.FormerTerms
+import org.elderhitch.delegates.Grant
+import org.elderhitch.delegates.Named
 import org.slf4j.LoggerFactory
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -47,8 +47,8 @@
     @ProtoNumber(6) val running: Map<String, Int> = emptyMap(),
     /** What the node's memory can hold of open jobs, in bytes; 0 from an earlier version. */
     @ProtoNumber(7) val bound: Long = 0,
-    /** In the leader's answer: for how many milliseconds from the question on the node may answer as warden of its zone; 0: not named now. */
-    @ProtoNumber(8) val wardenMs: Long = 0,
+    /** In the leader's answer: for how many milliseconds from the question on the node may answer as lease delegate of its zone; 0: not named now. */
+    @ProtoNumber(8) val delegateMs: Long = 0,
 )
 
 /** A user's request that a node which the state service refuses hands to one that it doesn't. */
@@ -87,11 +87,11 @@
     /** The run that led before this term has ended. */
     public fun formerEnded(term: Term)
 
-    /** As the leader: for how long from now the node may answer as warden; null: not named now. */
-    public suspend fun nameWarden(node: NodeName): Named?
+    /** As the leader: for how long from now the node may answer as lease delegate; null: not named now. */
+    public suspend fun nameDelegate(node: NodeName): Named?
 
     /** This node has been named. */
-    public fun wardenNamed(grant: Grant)
+    public fun delegateNamed(grant: Grant)
 
     /** No leader names anybody for longer. */
     public val longestGrant: Duration
@@ -161,17 +161,17 @@
         }
         val hello = decoded(answer.body, Hello.serializer()) ?: return
         heard(hello, asked)
-        if (hello.wardenMs != 0L) named(state.peer.name, hello, asked)
+        if (hello.delegateMs != 0L) named(state.peer.name, hello, asked)
     }
 
     /** Counted from when it was asked for: the leader counts from when it answered, and so not shorter. */
     private fun named(leader: NodeName, hello: Hello, asked: Moment) {
-        val span = hello.wardenMs.milliseconds
+        val span = hello.delegateMs.milliseconds
         if (hello.node != leader.text || !hello.leading || !span.isPositive() || span > ports.longestGrant) {
-            log.info("warden ignored by={} says={} leading={} for_ms={}", leader, hello.node, hello.leading, hello.wardenMs)
+            log.info("lease delegate ignored by={} says={} leading={} for_ms={}", leader, hello.node, hello.leading, hello.delegateMs)
             return
         }
-        ports.wardenNamed(Grant(Term(hello.term), leader, asked + span.shortened()))
+        ports.delegateNamed(Grant(Term(hello.term), leader, asked + span.shortened()))
     }
 
     /** [asked]: when the question was sent that this answers; null: the node spoke by itself. */
@@ -206,11 +206,11 @@
                 HttpServer.refusal(BAD, "no hello")
             } else {
                 heard(hello, asked = null)
-                val named = NodeName(hello.node).takeIf { it in states }?.let { ports.nameWarden(it) }
+                val named = NodeName(hello.node).takeIf { it in states }?.let { ports.nameDelegate(it) }
                 // Read after the wait: whoever lost the lead meanwhile names nobody.
                 val own = hello()
                 val mine = named?.takeIf { own.leading && own.term == it.term.number }
-                binary(ProtoBuf.encodeToByteArray(Hello.serializer(), own.copy(wardenMs = mine?.span?.inWholeMilliseconds ?: 0)))
+                binary(ProtoBuf.encodeToByteArray(Hello.serializer(), own.copy(delegateMs = mine?.span?.inWholeMilliseconds ?: 0)))
             }
         }
         EndingTeller.PATH -> {
--- a/src/main/kotlin/org/elderhitch/wardens/FormerTerms.kt
+++ b/src/main/kotlin/org/elderhitch/delegates/FormerTerms.kt
@@ -1,4 +1,4 @@
-package org.elderhitch.wardens
+package org.elderhitch.delegates
 
 import org.elderhitch.leadership.Former
 import org.elderhitch.leadership.Incarnation
@@ -8,8 +8,8 @@
 import org.elderhitch.time.Moment
 
 /**
- * When nobody answers workers in the name of an earlier term any more: a former leader past its window, or a warden of one. It takes the word of every
- * other controller that it knows the new term. The former leader's alone was not enough even before there were wardens: the one *before* it, cut off
+ * When nobody answers workers in the name of an earlier term any more: a former leader past its window, or a lease delegate of one. It takes the word of every
+ * other controller that it knows the new term. The former leader's alone was not enough even before there were lease delegates: the one *before* it, cut off
  * with its zone, could still be answering while two leaders after it came and went.
  */
 public class FormerTerms(private val peers: Set<NodeName>) {
@@ -35,7 +35,7 @@
     private fun hasEnded(former: Former, leading: Tenure.Leading): Boolean = runs[former.node].let { it != null && it.of != former.incarnation && it.asked >= leading.claimedAt }
 
     /**
-     * Whether the run that led before has ended: whoever reported to it has noticed by now, and tries the next controller. It says nothing of wardens. A former
+     * Whether the run that led before has ended: whoever reported to it has noticed by now, and tries the next controller. It says nothing of lease delegates. A former
      * leader that is no other controller was this node itself.
      */
     public fun formerEnded(leading: Tenure.Leading): Boolean {
--- a/src/main/kotlin/org/elderhitch/wardens/Warden.kt
+++ b/src/main/kotlin/org/elderhitch/delegates/LeaseDelegate.kt
@@ -1,4 +1,4 @@
-package org.elderhitch.wardens
+package org.elderhitch.delegates
 
 import org.elderhitch.leadership.Term
 import org.elderhitch.settings.NodeName
@@ -9,10 +9,10 @@
 public data class Grant(val term: Term, val leader: NodeName, val until: Moment)
 
 /**
- * A node that its leader has named warden of the zone that both it and its workers are in. While it reaches neither the leader nor the state service it
+ * A node that its leader has named lease delegate of the zone that both it and its workers are in. While it reaches neither the leader nor the state service it
  * answers these workers with the term and no commands, as a leader past its window does; so a zone that is cut off keeps its leases.
  */
-public class Warden(private val zone: Zone) {
+public class LeaseDelegate(private val zone: Zone) {
     /** Null: nobody has named this node, or a newer term has ended that. */
     public var grant: Grant? = null
         private set
@@ -28,7 +28,7 @@
         if (grant.let { it != null && term > it.term }) grant = null
     }
 
-    /** The term to answer with; null: this report is not for a warden to answer. */
+    /** The term to answer with; null: this report is not for a lease delegate to answer. */
     public fun answers(worker: Zone, knows: Term, cutOff: (leader: NodeName) -> Boolean, now: Moment): Term? {
         val grant = grant ?: return null
         if (worker != zone || knows > grant.term || now >= grant.until || !cutOff(grant.leader)) return null
--- a/src/main/kotlin/org/elderhitch/wardens/Promises.kt
+++ b/src/main/kotlin/org/elderhitch/delegates/Promises.kt
@@ -1,4 +1,4 @@
-package org.elderhitch.wardens
+package org.elderhitch.delegates
 
 import org.elderhitch.leadership.Tenure
 import org.elderhitch.leadership.TenureTimes
@@ -8,7 +8,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/** What a leader knows of a zone at the moment when one of its nodes asks to be named warden. */
+/** What a leader knows of a zone at the moment when one of its nodes asks to be named lease delegate. */
 public class ZoneStanding(
     /** Machines there that may run something and have not been heard in this term; null: it isn't known yet which there are. */
     public val unheard: Int?,
@@ -22,8 +22,8 @@
 public data class Named(val term: Term, val span: Duration)
 
 /**
- * What a leader has promised in the name of wardens: until when one may answer the workers of its zone. A promise is written down here before the
- * warden hears of it and is never taken back, only outlived (`docs/design/recovery.md`).
+ * What a leader has promised in the name of lease delegates: until when one may answer the workers of its zone. A promise is written down here before the
+ * lease delegate hears of it and is never taken back, only outlived (`docs/design/recovery.md`).
  */
 public class Promises(private val times: TenureTimes) {
     private val until = HashMap<Zone, Moment>()
@@ -31,12 +31,12 @@
     /** Promises of earlier terms are counted in the takeover's longest time: none outlasts the hold time of the leader that gave it. */
     public fun newTerm(): Unit = until.clear()
 
-    /** No report that left a worker of the zone after that is answered by a warden of this term. */
+    /** No report that left a worker of the zone after that is answered by a lease delegate of this term. */
     public fun lastAnswer(zone: Zone): Moment = until[zone] ?: Moment.NEVER
 
-    /** Names a warden of the zone from [now] on. For how long, or null: not now, what was promised before holds. */
+    /** Names a lease delegate of the zone from [now] on. For how long, or null: not now, what was promised before holds. */
     public fun name(leading: Tenure.Leading, zone: Zone, standing: ZoneStanding, now: Moment): Named? {
-        // An ending that was read and not carried out is worth as little as one that wasn't read: a warden's answers keep its tasks, so they end as early
+        // An ending that was read and not carried out is worth as little as one that wasn't read: a lease delegate's answers keep its tasks, so they end as early
         // as if nothing were known since.
         val end = minOf(leading.holdEnd, (standing.oldestEnd ?: Moment.FOREVER) + times.answering) - MARGIN
         if (!mayName(leading, standing, now) || end <= now) return null
@@ -45,10 +45,10 @@
     }
 
     public companion object {
-        /** By so much a warden stops answering before its leader would. */
+        /** By so much a lease delegate stops answering before its leader would. */
         internal val MARGIN: Duration = 1.seconds
 
-        /** A task that should be stopped and that its leader can't know of, on a machine that has not told it, must not be kept alive by a warden. */
+        /** A task that should be stopped and that its leader can't know of, on a machine that has not told it, must not be kept alive by a lease delegate. */
         internal fun mayName(leading: Tenure.Leading, standing: ZoneStanding, now: Moment): Boolean =
             leading.mayCommand(now) && standing.unheard == 0 && standing.strangers == 0
     }
--- a/src/main/kotlin/org/elderhitch/workers/Foreman.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Foreman.kt
@@ -71,8 +71,8 @@
     private val wakefulness = Wakefulness(TICK)
     private val inquiry = Inquiry(table, takeover, workerTimes, wakefulness, ports, squares.orders)
     private val roster = Roster()
-    private val wardens = ZoneWardens(own, nodeZones, times, table, takeover, roster, ports)
-    private val silence = Silence(table, takeover, workerTimes, leases, TICK, nodeZones.values.toSet(), inquiry, wakefulness, events, ports, wardens, silentReturnShare)
+    private val delegates = ZoneDelegates(own, nodeZones, times, table, takeover, roster, ports)
+    private val silence = Silence(table, takeover, workerTimes, leases, TICK, nodeZones.values.toSet(), inquiry, wakefulness, events, ports, delegates, silentReturnShare)
     private val consolidation = Consolidation(table)
     private val feed = RoundFeed(table, faults, teams, objectives)
     private val demand = DemandReport(table, silence.suspectAfter)
@@ -158,8 +158,8 @@
             is ForemanMessage.Explain -> message.reply.complete(leading()?.let { explanation.of(it, message.id, catalog, refused, clock.now(), tableComplete) { w -> usable(w, clock.now()) } })
             is ForemanMessage.Survey -> message.reply.complete(leading()?.takeIf { tableComplete }?.let { table.whereabouts() })
             is ForemanMessage.AtFault -> message.reply.complete(leading()?.takeIf { tableComplete }?.let { table.jobs.values.filter { !it.ended && faults.atFault(it) }.map { it.id }.toSet() })
-            is ForemanMessage.NameWarden -> message.reply.complete(leading()?.let { wardens.name(it, message.node, tableComplete, clock.now()) })
-            is ForemanMessage.WardenNamed -> wardens.named(message.grant)
+            is ForemanMessage.NameDelegate -> message.reply.complete(leading()?.let { delegates.name(it, message.node, tableComplete, clock.now()) })
+            is ForemanMessage.DelegateNamed -> delegates.named(message.grant)
             ForemanMessage.Tick -> tick()
         }
     }
@@ -173,11 +173,11 @@
     private fun tenureIs(next: Tenure) {
         val before = term()
         tenure = next
-        if (next is Tenure.Following) wardens.follows(next)
+        if (next is Tenure.Following) delegates.follows(next)
         val leading = leading()
         if (leading == null || leading.term == before) return
         table.newTerm()
-        wardens.newTerm()
+        delegates.newTerm()
         takeover.begin(leading)
         inquiry.newTerm()
         silence.newTerm()
@@ -255,7 +255,7 @@
 
     private fun report(report: Report): ReportAnswer {
         val now = clock.now()
-        val leading = leading() ?: return wardens.answer(report, now) ?: ReportAnswer.Elsewhere((tenure as? Tenure.Following)?.leader)
+        val leading = leading() ?: return delegates.answer(report, now) ?: ReportAnswer.Elsewhere((tenure as? Tenure.Following)?.leader)
         return conversation.report(leading, report, now, tableComplete) { worker ->
             if (table.dirty && leading.mayCommand(now) && now > roundAgain) round(leading, now, answering = worker)
         }
@@ -280,7 +280,7 @@
         wakefulness.tick(now)?.let { log.info("woke up after_ms={}", it.inWholeMilliseconds) }
         events.tick()
         squares.tick()
-        val leading = leading() ?: return wardens.watch(now)
+        val leading = leading() ?: return delegates.watch(now)
         checkTakeover()
         silence.watch(leading, now, roster.known)
         if (now - lastCounts > COUNTS_EVERY) {
--- a/src/main/kotlin/org/elderhitch/workers/ForemanMessages.kt
+++ b/src/main/kotlin/org/elderhitch/workers/ForemanMessages.kt
@@ -20,8 +20,8 @@
 import org.elderhitch.placement.KeptFree
 import org.elderhitch.settings.NodeName
 import org.elderhitch.store.Revision
-import org.elderhitch.wardens.Grant
-import org.elderhitch.wardens.Named
+import org.elderhitch.delegates.Grant
+import org.elderhitch.delegates.Named
 
 public sealed interface ReportAnswer {
     public data class Accepted(val term: Term, val commands: List<Command>) : ReportAnswer
@@ -102,11 +102,11 @@
     /** Open jobs that failed wherever they were tried; null: as for [Survey]. */
     public data class AtFault(val reply: CompletableDeferred<Set<JobId>?>) : ForemanMessage
 
-    /** Another controller, just heard, wants to be warden of its zone; null: not now, or this node doesn't lead. */
-    public data class NameWarden(val node: NodeName, val reply: CompletableDeferred<Named?>) : ForemanMessage
+    /** Another controller, just heard, wants to be lease delegate of its zone; null: not now, or this node doesn't lead. */
+    public data class NameDelegate(val node: NodeName, val reply: CompletableDeferred<Named?>) : ForemanMessage
 
     /** The leader has named this node. */
-    public data class WardenNamed(val grant: Grant) : ForemanMessage
+    public data class DelegateNamed(val grant: Grant) : ForemanMessage
     public data object Tick : ForemanMessage
 }
 
--- a/src/main/kotlin/org/elderhitch/workers/Lease.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Lease.kt
@@ -75,7 +75,7 @@
     fun answered(at: Moment): LeaseBelief = copy(renewedBy = maxOf(renewedBy, at), unanswered = false)
 
     /**
-     * Nothing of the known session can be on the worker any more, and no word of it counts. Only of a worker that [obeys]. [lastAnswer]: no warden of
+     * Nothing of the known session can be on the worker any more, and no word of it counts. Only of a worker that [obeys]. [lastAnswer]: no lease delegate of
      * this term answers a report that leaves the worker after that; [Moment.NEVER]: none was named.
      */
     fun isOver(now: Moment, times: LeaseTimes, lastAnswer: Moment = Moment.NEVER): Boolean =
--- a/src/main/kotlin/org/elderhitch/workers/Silence.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Silence.kt
@@ -35,7 +35,7 @@
     private val wakefulness: Wakefulness,
     private val events: EventLog,
     private val ports: ForemanPorts,
-    private val wardens: ZoneWardens,
+    private val delegates: ZoneDelegates,
     silentReturnShare: Double,
 ) {
     private class Hearing {
@@ -74,7 +74,7 @@
     private val reopenedAt = HashMap<Zone, Moment>()
     private var resignedDeafAt = Moment.NEVER
 
-    /** When this leader was last outside its window: wardens may have kept workers to themselves until then. */
+    /** When this leader was last outside its window: lease delegates may have kept workers to themselves until then. */
     private var closedAt = Moment.NEVER
 
     /** Zones with a controller and many machines, of which not one has been heard in this term. */
@@ -103,7 +103,7 @@
             val quietFor = now - listeningSince(worker, leading)
             if (quietFor > suspectAfter) hearing.silent++ else hearing.heard++
             if (quietFor > overdueAfter) hearing.overdue++
-            if (worker.outlived(now, leases, wardens.lastAnswer(worker.zone)) && worker.placements.isNotEmpty()) {
+            if (worker.outlived(now, leases, delegates.lastAnswer(worker.zone)) && worker.placements.isNotEmpty()) {
                 events.info("lease over", worker.id) { "worker settled machine=${worker.id} by=lease tasks=${worker.placements.size}" }
                 table.loseAll(worker)
             }
--- a/src/main/kotlin/org/elderhitch/workers/WorkerState.kt
+++ b/src/main/kotlin/org/elderhitch/workers/WorkerState.kt
@@ -126,7 +126,7 @@
 
     /**
      * Whether all that it was given is surely gone with its session; from then on no word of that session counts. [lastAnswer]: by when a
-     * warden of its zone may have renewed it.
+     * lease delegate of its zone may have renewed it.
      */
     fun outlived(now: Moment, times: LeaseTimes, lastAnswer: Moment): Boolean {
         val belief = lease ?: return false
--- a/src/main/kotlin/org/elderhitch/workers/ZoneWardens.kt
+++ b/src/main/kotlin/org/elderhitch/workers/ZoneDelegates.kt
@@ -5,16 +5,16 @@
 import org.elderhitch.settings.NodeName
 import org.elderhitch.settings.Zone
 import org.elderhitch.time.Moment
-import org.elderhitch.wardens.Grant
-import org.elderhitch.wardens.Named
-import org.elderhitch.wardens.Promises
-import org.elderhitch.wardens.Warden
-import org.elderhitch.wardens.ZoneStanding
+import org.elderhitch.delegates.Grant
+import org.elderhitch.delegates.Named
+import org.elderhitch.delegates.Promises
+import org.elderhitch.delegates.LeaseDelegate
+import org.elderhitch.delegates.ZoneStanding
 import org.slf4j.LoggerFactory
 import kotlin.time.Duration
 
-/** Wardens as the foreman has them: as a leader it names those of its zones, as a follower it may be one. */
-internal class ZoneWardens(
+/** Lease delegates as the foreman has them: as a leader it names those of its zones, as a follower it may be one. */
+internal class ZoneDelegates(
     own: NodeName,
     private val zoneOf: Map<NodeName, Zone>,
     times: TenureTimes,
@@ -26,7 +26,7 @@
     private val log = LoggerFactory.getLogger("elderhitch.workers")
     private val promises = Promises(times)
     private val zone = zoneOf[own] ?: Zone("")
-    private val warden = Warden(zone)
+    private val delegate = LeaseDelegate(zone)
     private var answering = false
 
     /** Nodes whose zone the settings don't tell; each is logged once. */
@@ -34,14 +34,14 @@
 
     fun newTerm() = promises.newTerm()
 
-    /** No warden of this term answers a report that leaves a worker of the zone after that. */
+    /** No lease delegate of this term answers a report that leaves a worker of the zone after that. */
     fun lastAnswer(zone: Zone): Moment = promises.lastAnswer(zone)
 
     /** A node asks, which the leader has thereby just heard from. Null: it is not named now. */
     fun name(leading: Tenure.Leading, node: NodeName, tableComplete: Boolean, now: Moment): Named? {
         val zone = zoneOf[node]
         if (zone == null) {
-            if (homeless.add(node)) log.info("warden refused node={} reason=\"of no zone\"", node)
+            if (homeless.add(node)) log.info("lease delegate refused node={} reason=\"of no zone\"", node)
             return null
         }
         return if (tableComplete) promises.name(leading, zone, standing(zone), now) else null
@@ -54,24 +54,24 @@
         return ZoneStanding(unheard, its.count { it.strangers.isNotEmpty() }, ended.minOfOrNull { it.endedAfter })
     }
 
-    fun named(grant: Grant) = warden.named(grant)
+    fun named(grant: Grant) = delegate.named(grant)
 
-    fun follows(following: Tenure.Following) = warden.sawTerm(following.term)
+    fun follows(following: Tenure.Following) = delegate.sawTerm(following.term)
 
     /** Finds out early whether this node is cut off: a worker that is refused once comes back after half a lease. */
     fun watch(now: Moment) {
-        warden.grant?.takeIf { now < it.until }?.let { ports.cutOff(it.leader) }
+        delegate.grant?.takeIf { now < it.until }?.let { ports.cutOff(it.leader) }
     }
 
     /** What this node, which doesn't lead, answers to a report; null: it has no say in it. */
     fun answer(report: Report, now: Moment): ReportAnswer? {
-        val term = warden.answers(report.zone, report.term, ports::cutOff, now)
+        val term = delegate.answers(report.zone, report.term, ports::cutOff, now)
         if (report.zone == zone && answering != (term != null)) {
             answering = term != null
             if (answering) {
-                log.info("warden answers zone={} term={} left_ms={}", zone, term, warden.grant?.let { (it.until - now).inWholeMilliseconds })
+                log.info("lease delegate answers zone={} term={} left_ms={}", zone, term, delegate.grant?.let { (it.until - now).inWholeMilliseconds })
             } else {
-                log.info("warden rests zone={}", zone)
+                log.info("lease delegate rests zone={}", zone)
             }
         }
         // Of a job that isn't open here nothing is known for sure; of one that was seen to end, everything.
--- a/src/test/kotlin/org/elderhitch/app/KnowledgeMeetingsTest.kt
+++ b/src/test/kotlin/org/elderhitch/app/KnowledgeMeetingsTest.kt
@@ -120,7 +120,7 @@
         assertEquals(0, running("req-1"))
     }
 
-    /** (e) What a leader hears of late it has known for a moment only: a warden named in that moment kept its tasks as if users had just been told. */
+    /** (e) What a leader hears of late it has known for a moment only: a lease delegate named in that moment kept its tasks as if users had just been told. */
     @Test
     fun `a zone that is cut off when its leader learns of an old withdrawal is kept for no longer than that allows`() =
         meetings(1L..3L, { WorldSettings(it, reportS = 3.0, machinesPerZone = 12, mostGpus = 60.0, leaseS = 17.5, nodeZones = listOf("a", "a", "b")) }) { seed ->
--- a/src/test/kotlin/org/elderhitch/app/WardensTest.kt
+++ b/src/test/kotlin/org/elderhitch/app/LeaseDelegatesTest.kt
@@ -11,7 +11,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** Zones that are cut off with a controller in them, for longer than a lease (`docs/design/recovery.md`). */
-class WardensTest {
+class LeaseDelegatesTest {
     private fun World.cut(zone: String, mode: CutMode): Cut {
         val cut = Cut(mode) { from, to -> (zoneOf(from) == zone) != (zoneOf(to) == zone) }
         network.cuts.add(cut)
@@ -32,7 +32,7 @@
         delay(20.seconds)
     }
 
-    /** The lease is 24 s, and the warden answers for some 26 s: a cut of 34 s kills nothing, and starts nothing anew. */
+    /** The lease is 24 s, and the lease delegate answers for some 26 s: a cut of 34 s kills nothing, and starts nothing anew. */
     @Test
     fun `what runs in a zone that is cut off for longer than a lease runs on`() {
         for (mode in CutMode.entries) for (seed in 1L..3L) {
@@ -77,9 +77,9 @@
         }
     }
 
-    /** Nothing is started elsewhere before the last lease that the warden may have renewed is over, and everything soon after it. */
+    /** Nothing is started elsewhere before the last lease that the lease delegate may have renewed is over, and everything soon after it. */
     @Test
-    fun `a zone that stays away is replaced once its warden's last answer and a lease are over`() {
+    fun `a zone that stays away is replaced once its lease delegate's last answer and a lease are over`() {
         for (seed in 1L..3L) {
             world(settings(seed)) {
                 submit("req-2", "daemon", 6, 0.0, mapOf("cores" to 40.0))
@@ -114,7 +114,7 @@
 
     /** The leader dies during the cut, and its successor must outwait what it promised. */
     @Test
-    fun `a warden of an earlier term keeps what a new leader has not heard of from being started twice`() {
+    fun `a lease delegate of an earlier term keeps what a new leader has not heard of from being started twice`() {
         for (seed in 1L..6L) {
             world(settings(seed)) {
                 submit("req-2", "array", 60, 90.0, mapOf("cores" to 12.0))
@@ -136,7 +136,7 @@
 
     /** Its grant has ended by its own clock, which ran on, and it says nothing before it has looked at it. */
     @Test
-    fun `a warden that stood still through its time answers nobody when it wakes`() {
+    fun `a lease delegate that stood still through its time answers nobody when it wakes`() {
         for (seed in 1L..4L) {
             world(settings(seed)) {
                 services()
--- a/src/test/kotlin/org/elderhitch/wardens/WardensTest.kt
+++ b/src/test/kotlin/org/elderhitch/delegates/LeaseDelegatesTest.kt
@@ -1,4 +1,4 @@
-package org.elderhitch.wardens
+package org.elderhitch.delegates
 
 import org.elderhitch.leadership.Former
 import org.elderhitch.leadership.Incarnation
@@ -23,7 +23,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-class WardensTest {
+class LeaseDelegatesTest {
     private val now = Moment(0) + 1000.seconds
     private val zone = Zone("b")
     private val quiet = ZoneStanding(0, 0, null)
@@ -48,11 +48,11 @@
     }
 
     /**
-     * An ending may be known long after its user was told, as after an outage: that it had been *known* for less than two seconds was no bound on how long a warden kept
+     * An ending may be known long after its user was told, as after an outage: that it had been *known* for less than two seconds was no bound on how long a lease delegate kept
      * its tasks. What was promised ends as early as if nothing were known since before the ending.
      */
     @Test
-    fun `a warden's time ends as early as the oldest ending asks that was not carried out`() {
+    fun `a lease delegate's time ends as early as the oldest ending asks that was not carried out`() {
         val promises = Promises(times)
         assertNull(promises.name(leading(now), zone, ZoneStanding(0, 0, now - 20.seconds), now))
         assertEquals(Moment.NEVER, promises.lastAnswer(zone))
@@ -70,20 +70,20 @@
     }
 
     /**
-     * Leader and warden on clocks of their own, with grants that take any time on their way: whatever report the warden answers left its worker before the
+     * Leader and lease delegate on clocks of their own, with grants that take any time on their way: whatever report the lease delegate answers left its worker before the
      * moment that the leader has written down, and that is before the leader's own hold time ends.
      */
     @Test
-    fun `a warden answers nobody after its leader's last promise`() {
+    fun `a lease delegate answers nobody after its leader's last promise`() {
         var answers = 0
         for (seed in 1..500) {
             val random = Random(seed)
             val leaderDrift = (random.nextDouble() * 2 - 1) * CLOCK_DRIFT
-            val wardenDrift = (random.nextDouble() * 2 - 1) * CLOCK_DRIFT
+            val delegateDrift = (random.nextDouble() * 2 - 1) * CLOCK_DRIFT
             fun leader(t: Duration) = now + t * (1 + leaderDrift)
-            fun warden(t: Duration) = now + 5.seconds + t * (1 + wardenDrift)
+            fun delegate(t: Duration) = now + 5.seconds + t * (1 + delegateDrift)
             val promises = Promises(times)
-            val node = Warden(zone)
+            val node = LeaseDelegate(zone)
             val arriving = ArrayList<Pair<Duration, Grant>>()
             var t = Duration.ZERO
             var renewed = Duration.ZERO
@@ -95,11 +95,11 @@
                 promises.name(tenure, zone, quiet, leader(came))?.let { named ->
                     assertTrue(promises.lastAnswer(zone) < tenure.holdEnd)
                     val back = came + if (random.nextDouble() < 0.5) 10.milliseconds else random.nextInt(1, 40_000).milliseconds
-                    arriving.add(back to Grant(named.term, other, warden(t) + named.span.shortened()))
+                    arriving.add(back to Grant(named.term, other, delegate(t) + named.span.shortened()))
                 }
                 arriving.filter { it.first <= t }.forEach { node.named(it.second) }
                 arriving.removeAll { it.first <= t }
-                if (node.answers(zone, Term(1), { true }, warden(t)) == null) continue
+                if (node.answers(zone, Term(1), { true }, delegate(t)) == null) continue
                 answers++
                 assertTrue(leader(t) <= promises.lastAnswer(zone), "seed $seed: answered at $t, promised until ${promises.lastAnswer(zone) - now}")
             }
@@ -108,20 +108,20 @@
     }
 
     @Test
-    fun `a warden answers its own zone, cut off, for as long as no newer term is known`() {
-        val warden = Warden(zone)
-        warden.named(Grant(Term(3), other, now + 10.seconds))
-        warden.named(Grant(Term(2), other, now + 60.seconds))
-        warden.named(Grant(Term(3), other, now + 5.seconds))
-        assertEquals(Term(3), warden.answers(zone, Term(2), { true }, now))
-        assertNull(warden.answers(Zone("a"), Term(2), { true }, now))
-        assertNull(warden.answers(zone, Term(4), { true }, now), "the worker knows a newer term")
-        assertNull(warden.answers(zone, Term(2), { false }, now), "the leader is heard")
-        assertNull(warden.answers(zone, Term(2), { true }, now + 10.seconds))
-        warden.sawTerm(Term(3))
-        assertNotNull(warden.answers(zone, Term(2), { true }, now))
-        warden.sawTerm(Term(4))
-        assertNull(warden.answers(zone, Term(2), { true }, now))
+    fun `a lease delegate answers its own zone, cut off, for as long as no newer term is known`() {
+        val delegate = LeaseDelegate(zone)
+        delegate.named(Grant(Term(3), other, now + 10.seconds))
+        delegate.named(Grant(Term(2), other, now + 60.seconds))
+        delegate.named(Grant(Term(3), other, now + 5.seconds))
+        assertEquals(Term(3), delegate.answers(zone, Term(2), { true }, now))
+        assertNull(delegate.answers(Zone("a"), Term(2), { true }, now))
+        assertNull(delegate.answers(zone, Term(4), { true }, now), "the worker knows a newer term")
+        assertNull(delegate.answers(zone, Term(2), { false }, now), "the leader is heard")
+        assertNull(delegate.answers(zone, Term(2), { true }, now + 10.seconds))
+        delegate.sawTerm(Term(3))
+        assertNotNull(delegate.answers(zone, Term(2), { true }, now))
+        delegate.sawTerm(Term(4))
+        assertNull(delegate.answers(zone, Term(2), { true }, now))
     }
 
     /**
--- a/src/test/kotlin/org/elderhitch/leadership/KnowledgeTest.kt
+++ b/src/test/kotlin/org/elderhitch/leadership/KnowledgeTest.kt
@@ -7,8 +7,8 @@
 import org.elderhitch.time.CLOCK_DRIFT
 import org.elderhitch.time.Moment
 import org.elderhitch.time.shortened
-import org.elderhitch.wardens.Promises
-import org.elderhitch.wardens.ZoneStanding
+import org.elderhitch.delegates.Promises
+import org.elderhitch.delegates.ZoneStanding
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -19,7 +19,7 @@
 
 /**
  * The proof of `docs/design.md`, "For how long a withdrawn task may be kept", tried on random days: terms that follow each other, renewals and proofs that succeed, fail
- * or are answered late, a job whose user is told, a worker whose reports are answered or not, wardens, and processes that stand still between a check and what follows it.
+ * or are answered late, a job whose user is told, a worker whose reports are answered or not, lease delegates, and processes that stand still between a check and what follows it.
  */
 class KnowledgeTest {
     private val workers = WorkerTimes(3.seconds, 17.5.seconds, 45.seconds, 5.seconds, 47.5.seconds)
@@ -55,7 +55,7 @@
 
         fun tenure(): Tenure.Leading = rights().let { Tenure.Leading(Term(2), Revision(1), LeaseId(1), it.windowEnd, it.holdEnd, null, own(claimed)) }
 
-        /** By which own moment a warden's last answer is given, if one is named now while the task has not been stopped. */
+        /** By which own moment a lease delegate's last answer is given, if one is named now while the task has not been stopped. */
         fun names(t: Duration): Moment? {
             val since = if (guard == Guard.ENDINGS_AS_HEARD) heardAt else endedAfter
             return promises.name(tenure(), zone, ZoneStanding(0, if (stranger) 1 else 0, since?.let(::own)), own(t))?.let { own(t) + it.span.shortened() }
@@ -77,7 +77,7 @@
         var renewsUntil = Duration.ZERO
         var provesUntil = Duration.ZERO
         var knowsNothingFor = span(2_000, 70_000)
-        var wardenOnly = Duration.ZERO
+        var delegateOnly = Duration.ZERO
         while (t < 260.seconds && !stopped) {
             t += span(100, 900)
             // Spells of good and bad luck, of each kind by itself.
@@ -86,7 +86,7 @@
                 provesUntil = t + span(0, 40_000)
                 knowsNothingFor = span(2_000, 70_000)
             }
-            if (t > wardenOnly + 30.seconds && random.nextInt(40) == 0) wardenOnly = t + span(0, 40_000)
+            if (t > delegateOnly + 30.seconds && random.nextInt(40) == 0) delegateOnly = t + span(0, 40_000)
             if (t < renewsUntil) leader.renewed = t - span(1, 90)
             if (t < provesUntil) leader.proves(t - span(1, 90), confirmed, t)
             // Another claims once the lease is over; it has read all that was recorded before its claim, or what its own feed had.
@@ -109,8 +109,8 @@
             // The report left the worker now. Whoever answers checks, may stand still, and the answer counts if it comes within four seconds.
             if (random.nextInt(4) != 0) continue
             val left = t
-            val byWarden = t < wardenOnly
-            val answered = if (byWarden) {
+            val byDelegate = t < delegateOnly
+            val answered = if (byDelegate) {
                 grants.any { (by, until) -> by.own(t) < until }
             } else {
                 val by = if (earlier.isNotEmpty() && random.nextInt(3) == 0) earlier.random(random) else leader
--- a/src/test/kotlin/org/elderhitch/workers/LeaseBeliefTest.kt
+++ b/src/test/kotlin/org/elderhitch/workers/LeaseBeliefTest.kt
@@ -39,7 +39,7 @@
     }
 
     @Test
-    fun `a lease that a warden may have renewed is counted from its last answer`() {
+    fun `a lease that a lease delegate may have renewed is counted from its last answer`() {
         val known = LeaseBelief.firstWord(1, start, obeys = true).answered(start)
         assertTrue(known.isOver(start + 12.seconds, leases, start))
         assertTrue(!known.isOver(start + 25.seconds, leases, start + 14.seconds))
