--- a/src/main/kotlin/org/elderhitch/fleet/FleetMessages.kt
+++ b/src/main/kotlin/org/elderhitch/fleet/FleetMessages.kt
@@ -40,7 +40,7 @@
     public data class Release(val machines: List<MachineId>, val reason: ReturnReason) : FleetMessage
 
     /** Of machines that were to be returned as idle: those that nothing new goes to, and those that something runs on by now. */
-    public data class Condemned(val empty: List<MachineId>, val inUse: List<MachineId>) : FleetMessage
+    public data class Cordoned(val empty: List<MachineId>, val inUse: List<MachineId>) : FleetMessage
 
     /** A machine speaks whose return was asked for. */
     public data class Heard(val machine: MachineId) : FleetMessage
--- a/src/main/kotlin/org/elderhitch/fleet/Census.kt
+++ b/src/main/kotlin/org/elderhitch/fleet/Inventory.kt
@@ -6,7 +6,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** What a list of the cloud says against what this term holds. */
-internal class CensusVerdict(
+internal class InventoryVerdict(
     /** Nobody knows them, for longer than a machine that was returned stays listed. */
     val unknown: List<Machine>,
     /** They stopped by themselves, and stay listed until they are returned. */
@@ -19,14 +19,14 @@
  * Squares the cloud's lists with the machines of this term. A list describes a moment up to twice its lag ago ([lag]), and may be older than the one before: so
  * nothing is gone by its word that may have been rented since, and nobody's is what may just have been returned.
  */
-internal class Census(lag: Duration) {
+internal class Inventory(lag: Duration) {
     private val behind = lag * 2 + MARGIN
     private val unknownSince = HashMap<MachineId, Moment>()
 
     fun newTerm() = unknownSince.clear()
 
     /** [listed] was asked for at [asked]. */
-    fun square(listed: List<ListedMachine>, asked: Moment, held: Map<MachineId, HeldMachine>): CensusVerdict {
+    fun square(listed: List<ListedMachine>, asked: Moment, held: Map<MachineId, HeldMachine>): InventoryVerdict {
         val names = listed.mapTo(HashSet()) { it.machine.id }
         unknownSince.keys.retainAll(names)
         val unknown = ArrayList<Machine>()
@@ -41,7 +41,7 @@
             }
         }
         val gone = held.filter { (id, known) -> id !in names && known.hiredAt < asked - behind && !known.releasing }.keys.toList()
-        return CensusVerdict(unknown, failed, gone)
+        return InventoryVerdict(unknown, failed, gone)
     }
 
     private companion object {
--- a/src/main/kotlin/org/elderhitch/fleet/Renter.kt
+++ b/src/main/kotlin/org/elderhitch/fleet/Renter.kt
@@ -45,7 +45,7 @@
     private var catalog = Catalog.EMPTY
     private val intents = IntentBook(scope, store, ports::leadership, ::tell)
     private val turns = CloudTurns(limits.requestsPerS * CloudTurns.USABLE)
-    private val census = Census(limits.listLag)
+    private val inventory = Inventory(limits.listLag)
     private val orders = Orders()
     private val held = HashMap<MachineId, HeldMachine>()
     private val closed = HashMap<Market, Moment>()
@@ -59,7 +59,7 @@
     private val adoption = Adoption(intents)
     private var demand: FleetMessage.Demand? = null
     private var complete = false
-    private var censusSent = false
+    private var inventorySent = false
     private var nextName = 0
     private val boots = BootTimes()
     private var plannedAt = Moment.NEVER
@@ -90,7 +90,7 @@
                 if (machine.id !in held) adoption.reported(machine)
             }
             is FleetMessage.Release -> returns.want(leading(), message.machines, message.reason)
-            is FleetMessage.Condemned -> returns.condemned(leading(), message)
+            is FleetMessage.Cordoned -> returns.cordoned(leading(), message)
             is FleetMessage.Heard -> returns.spare(message.machine)
             is FleetMessage.CatalogIs -> catalog = message.catalog
             is FleetMessage.CameUp -> cameUp(message.machine)
@@ -112,10 +112,10 @@
         if (leading.term == before) return
         leadingSince = clock.now()
         complete = false
-        censusSent = false
+        inventorySent = false
         held.clear()
         turns.newTerm()
-        census.newTerm()
+        inventory.newTerm()
         orders.newTerm()
         adoption.newTerm()
         closed.clear()
@@ -135,17 +135,17 @@
     }
 
     private fun hold(machine: Machine, intent: String, hiredAt: Moment) {
-        held[machine.id] = HeldMachine(machine, intent, hiredAt, hiredHere = hiredAt > leadingSince && censusSent)
-        if (censusSent) ports.foreman(ForemanMessage.MachineKnown(machine))
+        held[machine.id] = HeldMachine(machine, intent, hiredAt, hiredHere = hiredAt > leadingSince && inventorySent)
+        if (inventorySent) ports.foreman(ForemanMessage.MachineKnown(machine))
     }
 
-    private fun sendCensus(leading: Tenure.Leading) {
+    private fun sendInventory(leading: Tenure.Leading) {
         // A request left open may have rented machines that no one has heard of yet, but none that may run something: before its first task a machine's
         // name is recorded, and that it is up. To wait for such requests cost a takeover 7 s at 1.5 of them a second.
-        if (censusSent || !complete) return
-        censusSent = true
+        if (inventorySent || !complete) return
+        inventorySent = true
         val (mayRun, fresh) = held.values.partition { it.machine.id in intents[it.intent]?.up.orEmpty() }
-        ports.foreman(ForemanMessage.Census(leading.term, mayRun.map { it.machine }, fresh.map { it.machine }))
+        ports.foreman(ForemanMessage.Inventory(leading.term, mayRun.map { it.machine }, fresh.map { it.machine }))
     }
 
     private fun cameUp(id: MachineId) {
@@ -184,13 +184,13 @@
         val leading = leading() ?: return
         val now = clock.now()
         if (!complete || !leading.mayCommand(now)) return
-        sendCensus(leading)
+        sendInventory(leading)
         sendRequests(leading, now)
         adoption.tick(leading, now) { it in held }
-        if (censusSent) intents.shorten(leading, now) { it in held }
+        if (inventorySent) intents.shorten(leading, now) { it in held }
         returns.send(leading, now)
         if (turns.startList(now, LIST_EVERY)) list(leading)
-        if (now - plannedAt > PLAN_EVERY && censusSent && !catalog.isEmpty) {
+        if (now - plannedAt > PLAN_EVERY && inventorySent && !catalog.isEmpty) {
             plannedAt = now
             ports.ordered(orders.read())
             plan(leading, now)
@@ -230,7 +230,7 @@
             val free = turns.mostOpen - open.size
             output.hire.flatMap { it.chunked(CloudClient.MOST_HIRED) }.take(maxOf(0, free)).forEach { newIntent(leading, it.market, it.count) }
             val release = output.release.filter { held[it]?.releasing == false }
-            if (release.isNotEmpty()) returns.condemn(release)
+            if (release.isNotEmpty()) returns.cordon(release)
             output.drain?.let { ports.foreman(ForemanMessage.Drain(it)) }
         }
     }
@@ -369,7 +369,7 @@
             // A takeover asks machines that it hasn't heard yet; only the cloud can say where they are.
             ports.foreman(ForemanMessage.MachinesListed(machines.associate { it.machine.id to it.address }))
         }
-        val verdict = census.square(machines, message.asked, held)
+        val verdict = inventory.square(machines, message.asked, held)
         verdict.failed.forEach { held[it]?.failed = true }
         if (verdict.failed.isNotEmpty()) returns.want(leading(), verdict.failed, ReturnReason.FAILED)
         leading()?.takeIf { complete && it.mayCommand(clock.now()) }?.let { adoption.listed(it, verdict.unknown) }
--- a/src/main/kotlin/org/elderhitch/fleet/Returns.kt
+++ b/src/main/kotlin/org/elderhitch/fleet/Returns.kt
@@ -47,12 +47,12 @@
     }
 
     /** Before an idle machine is returned the foreman gives it nothing more: a task that came there while its return waited for its turn was lost. */
-    fun condemn(machines: List<MachineId>) {
+    fun cordon(machines: List<MachineId>) {
         machines.forEach { held[it]?.releasing = true }
-        ports.foreman(ForemanMessage.Condemn(machines))
+        ports.foreman(ForemanMessage.Cordon(machines))
     }
 
-    fun condemned(leading: Tenure.Leading?, message: FleetMessage.Condemned) {
+    fun cordoned(leading: Tenure.Leading?, message: FleetMessage.Cordoned) {
         message.inUse.forEach { held[it]?.releasing = false }
         turns.wantReturned(message.empty, ReturnReason.IDLE)
         leading?.let { send(it, clock.now()) }
--- a/src/main/kotlin/org/elderhitch/workers/Faults.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Faults.kt
@@ -22,7 +22,7 @@
         worker.shun(job.id, now + ERROR_SHUN)
         worker.erredJobs.merge(job.id, 1, Int::plus)
         if (job.erredOn.size >= JOB_AT_FAULT && !runsSomewhere(job, worker)) {
-            condemn(job, now)
+            cordon(job, now)
             return
         }
         worker.doubtedUntil = now + DOUBT
@@ -30,7 +30,7 @@
     }
 
     /** What such a job does says nothing of the machines that it was on. */
-    private fun condemn(job: JobState, now: Moment) {
+    private fun cordon(job: JobState, now: Moment) {
         val back = ERROR_BACKOFF * (1 shl minOf(job.erredOn.size - JOB_AT_FAULT, MAX_DOUBLINGS))
         if (job.notBefore < now) log.info("job at fault job={} machines={} again_ms={}", job.id, job.erredOn.size, back.inWholeMilliseconds)
         job.notBefore = now + minOf(back, MAX_BACKOFF)
--- a/src/main/kotlin/org/elderhitch/workers/Foreman.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Foreman.kt
@@ -124,7 +124,7 @@
                 tableComplete = true
                 table.dirty = true
             }
-            is ForemanMessage.Census -> census(message)
+            is ForemanMessage.Inventory -> inventory(message)
             is ForemanMessage.MachineKnown -> {
                 roster.rented(message.machine, clock.now())
                 table.dirty = true
@@ -150,7 +150,7 @@
             is ForemanMessage.MachinesListed -> inquiry.listed(message.where)
             is ForemanMessage.Asked -> leading()?.takeIf { it.term == message.term }?.let { conversation.asked(it, message.machine, message.outcome, clock.now(), tableComplete) }
             is ForemanMessage.Drain -> drain(message.machine)
-            is ForemanMessage.Condemn -> condemn(message.machines)
+            is ForemanMessage.Cordon -> cordon(message.machines)
             is ForemanMessage.Spared -> table.workers[message.machine]?.let { silence.spared(it) }
             is ForemanMessage.HoldJob -> hold(message)
             is ForemanMessage.HoldWritten -> if (message.term == term()) holds.written(message.id, message.outcome)
@@ -190,10 +190,10 @@
         news.newTerm()
     }
 
-    private fun census(message: ForemanMessage.Census) {
+    private fun inventory(message: ForemanMessage.Inventory) {
         if (message.term != term()) return
-        roster.census(message.mayRun, message.fresh, clock.now())
-        takeover.census(message.mayRun.map { it.id }.filter { table.workers[it]?.settled != true && it !in roster.gone }.toSet())
+        roster.inventory(message.mayRun, message.fresh, clock.now())
+        takeover.inventory(message.mayRun.map { it.id }.filter { table.workers[it]?.settled != true && it !in roster.gone }.toSet())
         table.dirty = true
         checkTakeover()
     }
@@ -346,11 +346,11 @@
         table.dirty = true
     }
 
-    private fun condemn(machines: List<MachineId>) {
+    private fun cordon(machines: List<MachineId>) {
         val now = clock.now()
         val (empty, inUse) = machines.partition { table.workers[it]?.isEmpty != false }
         empty.forEach { table.workers[it]?.releaseAsked = now }
-        ports.fleet(FleetMessage.Condemned(empty, inUse))
+        ports.fleet(FleetMessage.Cordoned(empty, inUse))
     }
 
     /** A machine that the cloud takes back: what can save, saves; what can't, runs on while it may. */
--- a/src/main/kotlin/org/elderhitch/workers/ForemanMessages.kt
+++ b/src/main/kotlin/org/elderhitch/workers/ForemanMessages.kt
@@ -39,7 +39,7 @@
     public data class TableComplete(val term: Term) : ForemanMessage
 
     /** All machines that may run something of an earlier term, and those that never were given anything. */
-    public data class Census(val term: Term, val mayRun: Collection<Machine>, val fresh: Collection<Machine>) : ForemanMessage
+    public data class Inventory(val term: Term, val mayRun: Collection<Machine>, val fresh: Collection<Machine>) : ForemanMessage
 
     /** A machine that is ours to use, its intent being recorded. */
     public data class MachineKnown(val machine: Machine) : ForemanMessage
@@ -63,8 +63,8 @@
     public data class KeepFree(val kept: List<KeptFree>, val refused: Set<Market> = emptySet()) : ForemanMessage
     public data class Recorded(val term: Term, val finished: Map<JobId, List<Int>>) : ForemanMessage
 
-    /** Machines that are to be returned as idle: those that are still empty get nothing more. Answered by [FleetMessage.Condemned]. */
-    public data class Condemn(val machines: List<MachineId>) : ForemanMessage
+    /** Machines that are to be returned as idle: those that are still empty get nothing more. Answered by [FleetMessage.Cordoned]. */
+    public data class Cordon(val machines: List<MachineId>) : ForemanMessage
 
     /** A machine spoke before its return went out: it goes on. */
     public data class Spared(val machine: MachineId) : ForemanMessage
--- a/src/main/kotlin/org/elderhitch/workers/Roster.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Roster.kt
@@ -25,7 +25,7 @@
         lost.clear()
     }
 
-    fun census(mayRun: Collection<Machine>, fresh: Collection<Machine>, now: Moment) {
+    fun inventory(mayRun: Collection<Machine>, fresh: Collection<Machine>, now: Moment) {
         mayRun.forEach {
             machines[it.id] = it
             this.mayRun.add(it.id)
--- a/src/main/kotlin/org/elderhitch/workers/Takeover.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Takeover.kt
@@ -46,7 +46,7 @@
         end = leases.overAfterClaim(leading.claimedAt, times)
     }
 
-    fun census(machines: Set<MachineId>) {
+    fun inventory(machines: Set<MachineId>) {
         silent = HashSet(machines)
     }
 
--- a/src/test/kotlin/org/elderhitch/fleet/CloudTurnsTest.kt
+++ b/src/test/kotlin/org/elderhitch/fleet/CloudTurnsTest.kt
@@ -99,19 +99,19 @@
     /** A list describes a moment up to twice its lag ago, and may be older than the one before. */
     @Test
     fun `nothing is gone, and nobody's is taken, by the word of an old list`() {
-        val census = Census(10.seconds)
+        val inventory = Inventory(10.seconds)
         fun listed(n: Int, state: String = "running") = ListedMachine(Machine(id(n), MachineType("small"), Zone("a"), false), state, null)
         fun held(n: Int, hiredAt: Moment) = id(n) to HeldMachine(listed(n).machine, "r-1", hiredAt, hiredHere = true)
         val held = mapOf(held(1, begin - 60.seconds), held(2, begin - 15.seconds), held(3, begin - 60.seconds), held(4, begin - 60.seconds))
         held.getValue(id(3)).releasing = true
-        val first = census.square(listOf(listed(4, "failed"), listed(9)), begin, held)
+        val first = inventory.square(listOf(listed(4, "failed"), listed(9)), begin, held)
         assertEquals(listOf(id(1)), first.gone, "the second may have been rented since, the third is being returned")
         assertEquals(listOf(id(4)), first.failed)
         assertEquals(emptyList(), first.unknown, "the ninth may just have been returned")
-        assertEquals(emptyList(), census.square(listOf(listed(9)), begin + 20.seconds, held).unknown)
-        assertEquals(listOf(id(9)), census.square(listOf(listed(9)), begin + 22.seconds, held).unknown.map { it.id })
+        assertEquals(emptyList(), inventory.square(listOf(listed(9)), begin + 20.seconds, held).unknown)
+        assertEquals(listOf(id(9)), inventory.square(listOf(listed(9)), begin + 22.seconds, held).unknown.map { it.id })
         // One that was not listed in between is a new one.
-        census.square(emptyList(), begin + 23.seconds, held)
-        assertEquals(emptyList(), census.square(listOf(listed(9)), begin + 24.seconds, held).unknown)
+        inventory.square(emptyList(), begin + 23.seconds, held)
+        assertEquals(emptyList(), inventory.square(listOf(listed(9)), begin + 24.seconds, held).unknown)
     }
 }
--- a/src/test/kotlin/org/elderhitch/workers/FaultsTest.kt
+++ b/src/test/kotlin/org/elderhitch/workers/FaultsTest.kt
@@ -51,7 +51,7 @@
     }
 
     @Test
-    fun `a job that fails everywhere condemns no machine, and is tried ever more rarely`() {
+    fun `a job that fails everywhere cordons no machine, and is tried ever more rarely`() {
         val job = job("req-1")
         val machines = List(6) { worker("m$it") }
         machines.forEachIndexed { n, machine -> repeat(2) { fails(job, machine, n * 2 + it) } }
@@ -120,7 +120,7 @@
             assertTrue(good.all { it.notBefore < now }, "seed $seed: a good job waits")
             assertTrue(sick.count { it.sick } * 2 > sick.size, "seed $seed: faulty machines found: ${sick.count { it.sick }} of ${sick.size}")
             val returned = well.count { it.sick }
-            assertTrue(returned <= bad.size, "seed $seed: $returned good machines condemned")
+            assertTrue(returned <= bad.size, "seed $seed: $returned good machines cordoned")
         }
     }
 }
--- a/src/test/kotlin/org/elderhitch/workers/RosterTest.kt
+++ b/src/test/kotlin/org/elderhitch/workers/RosterTest.kt
@@ -34,7 +34,7 @@
 
     @Test
     fun `what came up in an earlier term doesn't boot, and what is gone stays gone until the next`() {
-        roster.census(mayRun = List(2) { machine(it) }, fresh = List(3) { machine(10 + it) }, start)
+        roster.inventory(mayRun = List(2) { machine(it) }, fresh = List(3) { machine(10 + it) }, start)
         assertEquals(5, roster.known.size)
         assertEquals(setOf(MachineId("m0"), MachineId("m1")), roster.cleared)
         assertTrue(roster.mostlyBooting(catalog, start + 1.seconds))
--- a/src/test/kotlin/org/elderhitch/workers/TakeoverTest.kt
+++ b/src/test/kotlin/org/elderhitch/workers/TakeoverTest.kt
@@ -52,11 +52,11 @@
     @Test
     fun `a job's tasks hide only where the job may run`() {
         assertTrue(takeover.mayHide(spec(false), known, catalog), "nobody knows yet which machines there are")
-        takeover.census(setOf(spot.id))
+        takeover.inventory(setOf(spot.id))
         assertFalse(takeover.mayHide(spec(false), known, catalog))
         assertTrue(takeover.mayHide(spec(true), known, catalog))
         assertFalse(takeover.mayHide(spec(true, Zone("b")), known, catalog))
-        takeover.census(setOf(spot.id, ordinary.id))
+        takeover.inventory(setOf(spot.id, ordinary.id))
         assertTrue(takeover.mayHide(spec(false), known, catalog))
         assertTrue(takeover.mayHide(spec(false), emptyMap(), catalog), "a machine of which nothing is known could run anything")
         assertFalse(takeover.mayHide(spec(true).copy(need = Resources(32.0, 0.0, 56.0)), known, catalog), "too large for either")
@@ -70,7 +70,7 @@
      */
     @Test
     fun `a takeover outwaits the leases that its own answers renewed, and a deaf machine doesn't hold it for ever`() {
-        takeover.census(setOf(spot.id, ordinary.id))
+        takeover.inventory(setOf(spot.id, ordinary.id))
         val end = now + (4.seconds + TenureTimes.of(times).hold + times.lease) * 1.001 + 500.milliseconds
         now = end - 2.seconds
         assertFalse(takeover.closing(now))
@@ -87,7 +87,7 @@
 
     @Test
     fun `a machine that has told the term what it runs holds the takeover no longer`() {
-        takeover.census(setOf(spot.id))
+        takeover.inventory(setOf(spot.id))
         takeover.answered(spot.id, now)
         takeover.answered(ordinary.id, now)
         takeover.heard(spot.id)
