--- a/src/main/kotlin/org/elderhitch/fleet/Inventory.kt
+++ b/src/main/kotlin/org/elderhitch/fleet/Inventory.kt
@@ -16,7 +16,7 @@
 )
 
 /**
- * Squares the cloud's lists with the machines of this term. A list describes a moment up to twice its lag ago ([lag]), and may be older than the one before: so
+ * Reconciliations the cloud's lists with the machines of this term. A list describes a moment up to twice its lag ago ([lag]), and may be older than the one before: so
  * nothing is gone by its word that may have been rented since, and nobody's is what may just have been returned.
  */
 internal class Inventory(lag: Duration) {
@@ -26,7 +26,7 @@
     fun newTerm() = unknownSince.clear()
 
     /** [listed] was asked for at [asked]. */
-    fun square(listed: List<ListedMachine>, asked: Moment, held: Map<MachineId, HeldMachine>): InventoryVerdict {
+    fun reconcile(listed: List<ListedMachine>, asked: Moment, held: Map<MachineId, HeldMachine>): InventoryVerdict {
         val names = listed.mapTo(HashSet()) { it.machine.id }
         unknownSince.keys.retainAll(names)
         val unknown = ArrayList<Machine>()
--- a/src/main/kotlin/org/elderhitch/fleet/Renter.kt
+++ b/src/main/kotlin/org/elderhitch/fleet/Renter.kt
@@ -369,7 +369,7 @@
             // A takeover asks machines that it hasn't heard yet; only the cloud can say where they are.
             ports.foreman(ForemanMessage.MachinesListed(machines.associate { it.machine.id to it.address }))
         }
-        val verdict = inventory.square(machines, message.asked, held)
+        val verdict = inventory.reconcile(machines, message.asked, held)
         verdict.failed.forEach { held[it]?.failed = true }
         if (verdict.failed.isNotEmpty()) returns.want(leading(), verdict.failed, ReturnReason.FAILED)
         leading()?.takeIf { complete && it.mayCommand(clock.now()) }?.let { adoption.listed(it, verdict.unknown) }
--- a/src/main/kotlin/org/elderhitch/recovery/MachineSquaring.kt
+++ b/src/main/kotlin/org/elderhitch/recovery/MachineReconciliation.kt
@@ -58,8 +58,8 @@
     val cut: Duration,
 )
 
-/** Squares the silence of machines with what else is known of them and their zone. Pure. */
-public class MachineSquaring(private val times: SilenceTimes) {
+/** Reconciliations the silence of machines with what else is known of them and their zone. Pure. */
+public class MachineReconciliation(private val times: SilenceTimes) {
     /** Nothing is returned sooner than that. */
     public val least: Duration = minOf(times.report, times.unlisted)
 
--- a/src/main/kotlin/org/elderhitch/recovery/Squares.kt
+++ b/src/main/kotlin/org/elderhitch/recovery/Reconciliations.kt
@@ -6,8 +6,8 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/** What a term's leader found when it squared reports with its table, row by row, and what it ordered: counted, told in the log, and read by `/status`. */
-internal class Squares(private val clock: SteadyClock) {
+/** What a term's leader found when it reconciled reports with its table, row by row, and what it ordered: counted, told in the log, and read by `/status`. */
+internal class Reconciliations(private val clock: SteadyClock) {
     private val log = LoggerFactory.getLogger("elderhitch.recovery")
     private val rows = LongArray(TaskRow.entries.size)
     val orders = Orders()
@@ -41,7 +41,7 @@
     }
 
     private fun tell(moment: String) {
-        log.info("squared moment=\"{}\" {}", moment, read().entries.joinToString(" ") { (name, value) -> "$name=$value" })
+        log.info("reconciled moment=\"{}\" {}", moment, read().entries.joinToString(" ") { (name, value) -> "$name=$value" })
     }
 
     fun read(): Map<String, Any?> = linkedMapOf<String, Any?>("term" to leading?.term?.number, "settled_ms" to settledAfter?.inWholeMilliseconds, "rows" to TaskRow.entries.associate { it.name.lowercase() to rows[it.ordinal] }.filterValues { it > 0 }) + orders.read()
--- a/src/main/kotlin/org/elderhitch/recovery/TaskSquaring.kt
+++ b/src/main/kotlin/org/elderhitch/recovery/TaskReconciliation.kt
@@ -102,8 +102,8 @@
     TWICE_STARTED_LATER(TaskVerdict.SURPLUS),
 }
 
-/** Squares what workers report with what the leader's table has, task by task. Pure. */
-public object TaskSquaring {
+/** Reconciliations what workers report with what the leader's table has, task by task. Pure. */
+public object TaskReconciliation {
     public fun row(task: NamedTask): TaskRow = when {
         task.job == JobStanding.UNKNOWN -> if (task.live) TaskRow.STRANGER else TaskRow.STRANGER_EXITED
         !task.exists -> TaskRow.NO_SUCH_TASK
--- a/src/main/kotlin/org/elderhitch/workers/Foreman.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Foreman.kt
@@ -22,7 +22,7 @@
 import org.elderhitch.placement.Round
 import org.elderhitch.placement.RoundInput
 import org.elderhitch.placement.RoundOutput
-import org.elderhitch.recovery.Squares
+import org.elderhitch.recovery.Reconciliations
 import org.elderhitch.settings.NodeName
 import org.elderhitch.settings.Objective
 import org.elderhitch.settings.Team
@@ -62,14 +62,14 @@
     private val log = LoggerFactory.getLogger("elderhitch.workers")
     private val table = TaskTable(clock, keeps)
     private val events = EventLog(clock, log::info, log::error)
-    private val squares = Squares(clock)
+    private val reconciliations = Reconciliations(clock)
     private val leases = LeaseTimes(workerTimes.lease)
     private val takeover = Takeover(times, leases, clock)
     private val faults = Faults(table)
-    private val reconciler = Reconciler(table, faults, clock, events, squares::seen)
+    private val reconciler = Reconciler(table, faults, clock, events, reconciliations::seen)
     private val commands = CommandList(table)
     private val wakefulness = Wakefulness(TICK)
-    private val inquiry = Inquiry(table, takeover, workerTimes, wakefulness, ports, squares.orders)
+    private val inquiry = Inquiry(table, takeover, workerTimes, wakefulness, ports, reconciliations.orders)
     private val roster = Roster()
     private val delegates = ZoneDelegates(own, nodeZones, times, table, takeover, roster, ports)
     private val silence = Silence(table, takeover, workerTimes, leases, TICK, nodeZones.values.toSet(), inquiry, wakefulness, events, ports, delegates, silentReturnShare)
@@ -80,7 +80,7 @@
     private val news = FinishedNews(table, clock, wall, ports)
     private val explanation = Explanation(table, faults, takeover, silence, roster, teams)
     private val conversation =
-        Conversation(table, takeover, reconciler, commands, silence, inquiry, roster, workerTimes, events, ports, squares.orders, { hinted[it] }, ::checkTakeover)
+        Conversation(table, takeover, reconciler, commands, silence, inquiry, roster, workerTimes, events, ports, reconciliations.orders, { hinted[it] }, ::checkTakeover)
     private var hinted: Map<MachineId, Map<Image, Double>> = emptyMap()
     private var lastHint = Moment.NEVER
     private var keptFree: List<KeptFree> = emptyList()
@@ -183,7 +183,7 @@
         silence.newTerm()
         consolidation.newTerm()
         holds.newTerm()
-        squares.newTerm(leading)
+        reconciliations.newTerm(leading)
         roster.newTerm()
         tableComplete = false
         nextAttempt = leading.term.number shl ATTEMPTS_PER_TERM_BITS
@@ -201,7 +201,7 @@
     private fun checkTakeover() {
         if (!takeover.check()) return
         table.dirty = true
-        squares.settled()
+        reconciliations.settled()
     }
 
     private fun jobEvent(event: JobEvent) {
@@ -265,7 +265,7 @@
         roster.lost(id)
         takeover.heard(id)
         table.workers.remove(id)?.let { worker ->
-            if (worker.releaseAsked != Moment.NEVER) squares.orders.returnedSilent(id, clock.now())
+            if (worker.releaseAsked != Moment.NEVER) reconciliations.orders.returnedSilent(id, clock.now())
             events.info("worker gone", id) { "worker settled machine=$id by=$proof tasks=${worker.placements.size}" }
             table.loseAll(worker)
         }
@@ -279,14 +279,14 @@
         val now = clock.now()
         wakefulness.tick(now)?.let { log.info("woke up after_ms={}", it.inWholeMilliseconds) }
         events.tick()
-        squares.tick()
+        reconciliations.tick()
         val leading = leading() ?: return delegates.watch(now)
         checkTakeover()
         silence.watch(leading, now, roster.known)
         if (now - lastCounts > COUNTS_EVERY) {
             lastCounts = now
             faults.reconsider(now)
-            ports.ordered(squares.read())
+            ports.ordered(reconciliations.read())
             ports.running(table.jobs.values.filter { it.placements.isNotEmpty() }.associate { it.id to it.running })
         }
         if (!tableComplete || !leading.mayCommand(now)) return
--- a/src/main/kotlin/org/elderhitch/workers/Reconciler.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Reconciler.kt
@@ -6,7 +6,7 @@
 import org.elderhitch.recovery.JobStanding
 import org.elderhitch.recovery.NamedTask
 import org.elderhitch.recovery.TaskRow
-import org.elderhitch.recovery.TaskSquaring
+import org.elderhitch.recovery.TaskReconciliation
 import org.elderhitch.recovery.TaskVerdict
 import org.elderhitch.time.Moment
 import org.elderhitch.time.SteadyClock
@@ -21,7 +21,7 @@
     private val clock: SteadyClock,
     private val events: EventLog,
     /** Told of each row that a named task stood in. */
-    private val squared: (TaskRow) -> Unit = {},
+    private val reconciled: (TaskRow) -> Unit = {},
 ) {
     private val log = LoggerFactory.getLogger("elderhitch.workers")
 
@@ -50,8 +50,8 @@
     }
 
     private fun stranger(worker: WorkerState, task: TaskReport) {
-        val row = TaskSquaring.row(NamedTask(JobStanding.UNKNOWN, true, task.phase != TaskPhase.EXITED, false, false, Here.NOTHING, Elsewhere.NOTHING))
-        squared(row)
+        val row = TaskReconciliation.row(NamedTask(JobStanding.UNKNOWN, true, task.phase != TaskPhase.EXITED, false, false, Here.NOTHING, Elsewhere.NOTHING))
+        reconciled(row)
         if (row.verdict == TaskVerdict.STOP) worker.strangers += task.task.job
     }
 
@@ -60,7 +60,7 @@
         worker.changed()
     }
 
-    /** Carries out what [TaskSquaring] says of the task. */
+    /** Carries out what [TaskReconciliation] says of the task. */
     private fun reconcile(worker: WorkerState, job: JobState, task: TaskReport) {
         val index = task.task.index
         val own = worker.placements[task.task]
@@ -68,8 +68,8 @@
         if (own != null && own.attempt != task.attempt && task.phase != TaskPhase.EXITED) table.remove(job, own)
         val elsewhere = job.placements[index]?.takeIf { it.worker !== worker }
         val named = named(job, task, own, elsewhere)
-        val row = TaskSquaring.row(named)
-        squared(row)
+        val row = TaskReconciliation.row(named)
+        reconciled(row)
         val placement = when (row.verdict) {
             TaskVerdict.KEEP -> own ?: return
             TaskVerdict.ADOPT, TaskVerdict.SWAP, TaskVerdict.SURPLUS -> take(worker, job, task, row, elsewhere)
@@ -88,7 +88,7 @@
         if (task.phase == TaskPhase.FETCHING && placement.fetchingSince == null) placement.fetchingSince = clock.now()
         if (task.phase == TaskPhase.RUNNING && placement.runsSince == null) placement.runsSince = clock.now()
         if (job.isGang && job.placements[index] === placement) job.gang.seen(task.phase)
-        if (TaskSquaring.stops(named) && placement.stop == null) table.stop(job, placement, Duration.ZERO)
+        if (TaskReconciliation.stops(named) && placement.stop == null) table.stop(job, placement, Duration.ZERO)
     }
 
     private fun named(job: JobState, task: TaskReport, own: Placement?, elsewhere: Placement?): NamedTask = NamedTask(
--- a/src/main/kotlin/org/elderhitch/workers/Silence.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Silence.kt
@@ -5,7 +5,7 @@
 import org.elderhitch.fleet.ReturnReason
 import org.elderhitch.leadership.LeadershipMessage
 import org.elderhitch.leadership.Tenure
-import org.elderhitch.recovery.MachineSquaring
+import org.elderhitch.recovery.MachineReconciliation
 import org.elderhitch.recovery.ReturnPace
 import org.elderhitch.recovery.SilenceRow
 import org.elderhitch.recovery.SilenceTimes
@@ -54,7 +54,7 @@
     /** A worker silent for so long gets nothing new. */
     val suspectAfter: Duration = workerTimes.report * 2.5 + 500.milliseconds
     private val releaseAfter = workerTimes.reportAtLatest + WorkerTimes.ANSWER_WAIT + NEXT_NODE * 2.0
-    private val squaring = MachineSquaring(SilenceTimes(workerTimes.reportAtLatest, releaseAfter, UNLISTED_PATIENCE, UNASKED_MARGIN, UNHEARD_MARGIN, CUT_PATIENCE))
+    private val reconciliation = MachineReconciliation(SilenceTimes(workerTimes.reportAtLatest, releaseAfter, UNLISTED_PATIENCE, UNASKED_MARGIN, UNHEARD_MARGIN, CUT_PATIENCE))
     private val pace = ReturnPace(silentReturnShare)
 
     /** When the return of machines was asked for that have said nothing in this term. */
@@ -195,14 +195,14 @@
     private class Wanted(val id: MachineId, val zone: Zone?, val row: SilenceRow, val quiet: Duration, val unheard: Boolean)
 
     private fun judge(id: MachineId, zone: Zone?, unheard: Boolean, settled: Boolean, quiet: Duration, now: Moment): Wanted? {
-        if (quiet <= squaring.least) return null
+        if (quiet <= reconciliation.least) return null
         val machine = SilentMachine(
             unheard, settled, inquiry.isUnlisted(id), inquiry.unreachableSince(id), inquiry.wasAskedInVain(id), lastWord[zone],
             zone in doubtfulZones, zone in cutZones, zone in missingZones,
         )
         val endsSoon = takeover.endsSoon(now)
-        if (quiet <= squaring.patience(machine, !takeover.settled, endsSoon)) return null
-        return Wanted(id, zone, squaring.row(machine, !takeover.settled, endsSoon), quiet, unheard)
+        if (quiet <= reconciliation.patience(machine, !takeover.settled, endsSoon)) return null
+        return Wanted(id, zone, reconciliation.row(machine, !takeover.settled, endsSoon), quiet, unheard)
     }
 
     /** It was silent, its release did not go through, and it is back. */
--- a/src/test/kotlin/org/elderhitch/app/ColdStartTest.kt
+++ b/src/test/kotlin/org/elderhitch/app/ColdStartTest.kt
@@ -148,9 +148,9 @@
         return steps.count
     }
 
-    /** Whatever was written last before all controllers died, carried out at once, or half a minute later: the next start squares it. */
+    /** Whatever was written last before all controllers died, carried out at once, or half a minute later: the next start reconciliations it. */
     @Test
-    fun `a start that is cut short at any of its transactions is squared by the next`() {
+    fun `a start that is cut short at any of its transactions is reconciled by the next`() {
         val steps = crashingAt(0, Fate.Answered)
         assertTrue(steps in 8..200, "$steps transactions")
         for (step in 1..steps) for (fate in listOf(Fate.AnswerLost, Fate.Late(30.seconds))) crashingAt(step, fate)
--- a/src/test/kotlin/org/elderhitch/fleet/CloudTurnsTest.kt
+++ b/src/test/kotlin/org/elderhitch/fleet/CloudTurnsTest.kt
@@ -104,14 +104,14 @@
         fun held(n: Int, hiredAt: Moment) = id(n) to HeldMachine(listed(n).machine, "r-1", hiredAt, hiredHere = true)
         val held = mapOf(held(1, begin - 60.seconds), held(2, begin - 15.seconds), held(3, begin - 60.seconds), held(4, begin - 60.seconds))
         held.getValue(id(3)).releasing = true
-        val first = inventory.square(listOf(listed(4, "failed"), listed(9)), begin, held)
+        val first = inventory.reconcile(listOf(listed(4, "failed"), listed(9)), begin, held)
         assertEquals(listOf(id(1)), first.gone, "the second may have been rented since, the third is being returned")
         assertEquals(listOf(id(4)), first.failed)
         assertEquals(emptyList(), first.unknown, "the ninth may just have been returned")
-        assertEquals(emptyList(), inventory.square(listOf(listed(9)), begin + 20.seconds, held).unknown)
-        assertEquals(listOf(id(9)), inventory.square(listOf(listed(9)), begin + 22.seconds, held).unknown.map { it.id })
+        assertEquals(emptyList(), inventory.reconcile(listOf(listed(9)), begin + 20.seconds, held).unknown)
+        assertEquals(listOf(id(9)), inventory.reconcile(listOf(listed(9)), begin + 22.seconds, held).unknown.map { it.id })
         // One that was not listed in between is a new one.
-        inventory.square(emptyList(), begin + 23.seconds, held)
-        assertEquals(emptyList(), inventory.square(listOf(listed(9)), begin + 24.seconds, held).unknown)
+        inventory.reconcile(emptyList(), begin + 23.seconds, held)
+        assertEquals(emptyList(), inventory.reconcile(listOf(listed(9)), begin + 24.seconds, held).unknown)
     }
 }
--- a/src/test/kotlin/org/elderhitch/recovery/SquaringTest.kt
+++ b/src/test/kotlin/org/elderhitch/recovery/ReconciliationTest.kt
@@ -10,7 +10,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** The tables of `docs/design/recovery.md`, over all that can be named and all that can be known. */
-class SquaringTest {
+class ReconciliationTest {
     private val flags = listOf(false, true)
 
     private fun everyTask(): List<NamedTask> = buildList {
@@ -22,11 +22,11 @@
 
     @Test
     fun `every row is reached, and what is on a machine is never out of the table`() {
-        val rows = everyTask().groupBy(TaskSquaring::row)
+        val rows = everyTask().groupBy(TaskReconciliation::row)
         assertEquals(TaskRow.entries.toSet(), rows.keys)
         val inTable = setOf(TaskVerdict.KEEP, TaskVerdict.ADOPT, TaskVerdict.SWAP, TaskVerdict.SURPLUS)
         for (task in everyTask().filter { it.exists && it.job != JobStanding.UNKNOWN }) {
-            val verdict = TaskSquaring.row(task).verdict
+            val verdict = TaskReconciliation.row(task).verdict
             // ran_twice, quota: a live task uses room, and keeps others of its number from starting, whatever else is known.
             assertEquals(task.live, verdict in inTable, "$task: $verdict")
             // not_done, lost work: a result counts, whichever attempt brought it.
@@ -39,9 +39,9 @@
     fun `what lives of a job that has ended is stopped`() {
         for (task in everyTask().filter { it.live && it.exists }) {
             when (task.job) {
-                JobStanding.OPEN -> assertTrue(!TaskSquaring.stops(task))
-                JobStanding.ENDED -> assertTrue(TaskSquaring.stops(task), "$task")
-                JobStanding.UNKNOWN -> assertEquals(TaskVerdict.STOP, TaskSquaring.row(task).verdict, "$task")
+                JobStanding.OPEN -> assertTrue(!TaskReconciliation.stops(task))
+                JobStanding.ENDED -> assertTrue(TaskReconciliation.stops(task), "$task")
+                JobStanding.UNKNOWN -> assertEquals(TaskVerdict.STOP, TaskReconciliation.row(task).verdict, "$task")
             }
         }
     }
@@ -50,17 +50,17 @@
     @Test
     fun `of two copies one stays, in whichever order their machines report`() {
         val task = NamedTask(JobStanding.OPEN, true, live = true, saving = false, completed = false, Here.NOTHING, Elsewhere.EARLIER)
-        assertEquals(TaskVerdict.SURPLUS, TaskSquaring.row(task).verdict)
-        assertEquals(TaskVerdict.SWAP, TaskSquaring.row(task.copy(elsewhere = Elsewhere.LATER)).verdict)
+        assertEquals(TaskVerdict.SURPLUS, TaskReconciliation.row(task).verdict)
+        assertEquals(TaskVerdict.SWAP, TaskReconciliation.row(task.copy(elsewhere = Elsewhere.LATER)).verdict)
         for (saving in everyTask().filter { it.saving && it.elsewhere > Elsewhere.UNSENT && it.here != Here.THIS_ATTEMPT && it.exists && it.job == JobStanding.OPEN }) {
-            assertEquals(TaskVerdict.SURPLUS, TaskSquaring.row(saving).verdict, "one that saves is on its way out: $saving")
+            assertEquals(TaskVerdict.SURPLUS, TaskReconciliation.row(saving).verdict, "one that saves is on its way out: $saving")
         }
     }
 
     // ---- machines ----------------------------------------------------------------------------------------------
 
     private val times = SilenceTimes(report = 3.seconds, silent = 9.seconds, unlisted = 2.seconds, unaskedMargin = 6.seconds, unheardMargin = 3.seconds, cut = 90.seconds)
-    private val squaring = MachineSquaring(times)
+    private val reconciliation = MachineReconciliation(times)
     private val now = Moment(0) + 1000.seconds
 
     private fun everyMachine(): List<SilentMachine> = buildList {
@@ -75,10 +75,10 @@
     fun `nothing is returned sooner than its evidence allows`() {
         val rows = HashSet<SilenceRow>()
         for (machine in everyMachine()) for (open in flags) for (endsSoon in flags) {
-            val row = squaring.row(machine, open, endsSoon)
-            val patience = squaring.patience(machine, open, endsSoon)
+            val row = reconciliation.row(machine, open, endsSoon)
+            val patience = reconciliation.patience(machine, open, endsSoon)
             rows.add(row)
-            assertTrue(patience >= squaring.least)
+            assertTrue(patience >= reconciliation.least)
             if (!row.proven) assertTrue(patience >= times.silent, "$machine: $row after $patience, with no proof")
             if (row == SilenceRow.UNLISTED) assertTrue(machine.unheard && machine.unlisted, "a machine that has spoken is not returned by the word of an old list")
             if (row == SilenceRow.DEAD) assertTrue(!machine.zoneDoubtful && (open || machine.zoneHeard == now - 1.seconds), "a cut explains it: $machine")
