--- a/src/main/kotlin/org/elderhitch/app/Controller.kt
+++ b/src/main/kotlin/org/elderhitch/app/Controller.kt
@@ -66,8 +66,8 @@
     random: Random,
     features: Features = Features.NONE,
     private val bound: Footprint = Footprint.bound(Runtime.getRuntime().maxMemory()),
-    /** Told after each placement round how many looks at machines and candidates it took. */
-    onRound: (looks: Long) -> Unit = {},
+    /** Told after each placement scheduling cycle how many looks at machines and candidates it took. */
+    onCycle: (looks: Long) -> Unit = {},
     /** Something recorded needs a feature that is off here: serving on would tell users falsely. */
     onUnserved: (reason: String) -> Unit = { error(it) },
 ) {
@@ -94,7 +94,7 @@
         settings.stateLimits.valueBytes, ::entitled, ::cutOff, { renter }, { foreman.tell(it) },
     )
     private val foreman: Foreman =
-        Foreman(scope, times, settings.workers, settings.teams, settings.objectives, settings.node, settings.nodeZones, clock, wiring, wall, features.rules, onRound, policy.silentReturnShare, settings.cpuShare) { featureSet().keeper(it)?.open(it) }
+        Foreman(scope, times, settings.workers, settings.teams, settings.objectives, settings.node, settings.nodeZones, clock, wiring, wall, features.rules, onCycle, policy.silentReturnShare, settings.cpuShare) { featureSet().keeper(it)?.open(it) }
     private val renter: Renter = Renter(scope, cloud, client, policy, settings.instantClasses, settings.cloudLimits, clock, fleetPorts())
     private val catalog: CatalogKeeper = CatalogKeeper(scope, cloud, client, settings.stateLimits.valueBytes, { feed.loaded }, ::catalogIs)
     private val feed: Feed = Feed(scope, client, clock, FeedFan(book, renter, catalog, foreman, leadership, ::featureSet, onUnserved))
--- a/src/main/kotlin/org/elderhitch/fleet/Renter.kt
+++ b/src/main/kotlin/org/elderhitch/fleet/Renter.kt
@@ -178,7 +178,7 @@
         if (intent.cameUp.isNotEmpty()) intents.writeUp(leading, intent)
     }
 
-    // ---- rounds ------------------------------------------------------------------------------------------------
+    // ---- scheduling cycles ------------------------------------------------------------------------------------------------
 
     private fun tick() {
         val leading = leading() ?: return
--- a/src/main/kotlin/org/elderhitch/jobs/Recorder.kt
+++ b/src/main/kotlin/org/elderhitch/jobs/Recorder.kt
@@ -21,7 +21,7 @@
 )
 
 /**
- * Writes finished tasks, packed, once per round, and decides that a job is done: on the key of its ending, which a
+ * Writes finished tasks, packed, once per scheduling cycle, and decides that a job is done: on the key of its ending, which a
  * withdrawal would create as well, so that exactly one of them wins.
  */
 public class Recorder(private val client: StateClient, private val book: JobBook, private val txnOps: Int) {
--- a/src/main/kotlin/org/elderhitch/lab/Standstill.kt
+++ b/src/main/kotlin/org/elderhitch/lab/Standstill.kt
@@ -23,8 +23,8 @@
         else -> REQUEST
     } / share
 
-    /** [looks]: how many machines and candidates a round looked at. */
-    fun round(looks: Long): Duration = LOOK * looks.toDouble() / share
+    /** [looks]: how many machines and candidates a scheduling cycle looked at. */
+    fun cycle(looks: Long): Duration = LOOK * looks.toDouble() / share
 
     private companion object {
         val REPORT = 220.microseconds
--- a/src/main/kotlin/org/elderhitch/lab/SweepLab.kt
+++ b/src/main/kotlin/org/elderhitch/lab/SweepLab.kt
@@ -64,7 +64,7 @@
                 WorldSettings(
                     seed, requestsPerS = 150.0, writesPerS = 25.0, mostGpus = 4000.0, machinesPerZone = 30,
                     features = Features(ClassRules.NONE, listOf(FeatureFactory { Sweeps(SweepsSettings(tablePoints = 400), it) })),
-                    onRound = { looks -> rounds.getOrPut(sweepOpen) { ArrayList() }.add(looks) },
+                    onCycle = { looks -> rounds.getOrPut(sweepOpen) { ArrayList() }.add(looks) },
                 ),
             )
             world.platform.uploaded = { job -> SweepId.ofPoint(JobId(job))?.let { (_, point) -> TaskScript("array", if (isEndless(point)) ENDLESS else RUNS, CORES, ACCELERATORS) } }
@@ -109,7 +109,7 @@
         val figures = linkedMapOf<String, Any?>(
             "lab" to "sweep", "seed" to seed, "points" to points, "accepted_s" to acceptedIn.inWholeMilliseconds / MS, "changes_sweep" to changes,
             "changes_sweep_to_its_end" to allChanges, "changes_single" to (singleChanges * points).toLong(), "others_submit_p99_ms" to others.p99(), "bytes_per_open_point" to bytes(),
-            "round_looks_with" to rounds[true]?.average()?.toLong(), "round_looks_without" to rounds[false]?.average()?.toLong(),
+            "cycle_looks_with" to rounds[true]?.average()?.toLong(), "cycle_looks_without" to rounds[false]?.average()?.toLong(),
             "without_answer" to without, "with_two_answers" to two, "ran_after_cancel" to rules.broken.count { it.first == "ran_cancelled" },
             "rules_broken" to rules.broken.size, "ended" to ended, "took_s" to time.nowMs / MS.toLong(),
         )
--- a/src/main/kotlin/org/elderhitch/lab/World.kt
+++ b/src/main/kotlin/org/elderhitch/lab/World.kt
@@ -58,8 +58,8 @@
     val types: List<StandInType> = listOf(CloudStandIn.USUAL),
     val cloudPerS: Double = 10.0,
     val policy: FleetPolicy = FleetPolicy(),
-    /** Told of each round's looks. */
-    val onRound: (looks: Long) -> Unit = {},
+    /** Told of each scheduling cycle's looks. */
+    val onCycle: (looks: Long) -> Unit = {},
 )
 
 /** Three controllers against the stand-ins, over a network that can be cut, in virtual time. */
@@ -148,8 +148,8 @@
         val scope = CoroutineScope(context + SupervisorJob(context[Job]) + standstill)
         network.nodes[name] = scope
         val controller = Controller(scope, settings(name), made.policy, network.transport(name), clock, wall, Random(random.nextLong()), made.features, made.bound(name), { looks ->
-            made.onRound(looks)
-            made.costs?.let { standstill.charge(it.round(looks)) }
+            made.onCycle(looks)
+            made.costs?.let { standstill.charge(it.cycle(looks)) }
         })
         controllers[name] = controller
         network.handlers["$name:80"] = controller.clients
--- a/src/main/kotlin/org/elderhitch/leadership/Tenure.kt
+++ b/src/main/kotlin/org/elderhitch/leadership/Tenure.kt
@@ -32,8 +32,8 @@
     val window: Duration,
     /** How long past its window a leader still answers reports, without commands. */
     val hold: Duration,
-    /** A placement round that took longer sends nothing. */
-    val roundBudget: Duration,
+    /** A placement scheduling cycle that took longer sends nothing. */
+    val cycleBudget: Duration,
     val renewEvery: Duration,
 ) {
     /** For how long a leader answers reports after it was last proven to lead and to know all, shortened by the drift. */
@@ -50,7 +50,7 @@
 
     public companion object {
         private val WINDOW = 4.seconds
-        private val ROUND_BUDGET = 5.seconds
+        private val CYCLE_BUDGET = 5.seconds
         private val MARGIN = 2.seconds
         private const val RENEWALS_PER_WINDOW = 5
 
@@ -59,7 +59,7 @@
             // A task withdrawn right after the last renewal must be gone within the time for cancelling, even on a
             // worker that only the cut-off leader still answers.
             hold = (workers.cancel - workers.lease - WINDOW - MARGIN).coerceAtLeast(Duration.ZERO),
-            roundBudget = ROUND_BUDGET,
+            cycleBudget = CYCLE_BUDGET,
             renewEvery = WINDOW / RENEWALS_PER_WINDOW,
         )
     }
--- a/src/main/kotlin/org/elderhitch/placement/Scarcity.kt
+++ b/src/main/kotlin/org/elderhitch/placement/Scarcity.kt
@@ -15,7 +15,7 @@
 /** Tasks of a class that arrive by what was seen lately; [spec]: the latest job of the class. */
 public class Expected(public val spec: JobSpec, public val tasksPerS: Double)
 
-/** Which machine types can take a task at all, of those that there are. Asked for each job many times a round. */
+/** Which machine types can take a task at all, of those that there are. Asked for each job many times a scheduling cycle. */
 internal class Fits(private val types: Map<MachineType, Resources>) {
     private val known = HashMap<JobId, Set<MachineType>>()
 
@@ -33,14 +33,14 @@
  * What a machine is worth to work that could run nowhere else, from the types that are up, what waits, what runs and what arrived lately.
  * Two things make room scarce:
  *
- * * an accelerator: tasks that use none leave what the free accelerators of a machine need beside them ([RoundInput.besideGpu]);
+ * * an accelerator: tasks that use none leave what the free accelerators of a machine need beside them ([CycleInput.besideGpu]);
  * * a type: work that fits only some types is *confined* to them, and work that could run elsewhere is a *guest* there. What waits of the confined
  *   work, and what will have arrived by the time that guests leave, is laid on paper onto the machines that guests leave first. That room is *kept*:
  *   guests in it run out and are not followed by others, so that it comes together.
  *
  * Where guests are late as well and there is not room for both, the room is shared out by what each asks for: neither is kept out for long.
  */
-public class Scarcity(private val input: RoundInput) {
+public class Scarcity(private val input: CycleInput) {
     /** Work that is confined to the same types. */
     private class Group(val types: Set<MachineType>) {
         /** Needs, and how many tasks of each wait or are expected. */
--- a/src/main/kotlin/org/elderhitch/placement/Round.kt
+++ b/src/main/kotlin/org/elderhitch/placement/SchedulingCycle.kt
@@ -16,7 +16,7 @@
 import org.elderhitch.workers.MachineId
 import kotlin.time.DurationUnit
 
-/** A machine as a round sees it. Never changed, so that it can be kept from one round to the next. */
+/** A machine as a scheduling cycle sees it. Never changed, so that it can be kept from one scheduling cycle to the next. */
 public class MachineView(
     public val id: MachineId,
     public val type: MachineType,
@@ -69,7 +69,7 @@
 /** Room that work with no time for that finds free at once, rather than have less important work stopped for it. */
 public class KeptFree(public val spec: JobSpec, public val tasks: Int)
 
-public class RoundInput(
+public class CycleInput(
     public val machines: List<MachineView>,
     public val jobs: List<JobView>,
     public val quota: QuotaLedger,
@@ -92,11 +92,11 @@
 /** Tasks that found no machine, though their team may use one: what renting is for. */
 public class Unplaced(public val spec: JobSpec, public val count: Int, public val zones: Map<Zone, Int>)
 
-public class RoundOutput(
+public class CycleOutput(
     public val placed: List<Placed>,
     public val stopped: List<TaskId>,
     public val unplaced: List<Unplaced>,
-    /** How often a machine was looked at: what bounds the cost of a round, whatever the processor. */
+    /** How often a machine was looked at: what bounds the cost of a scheduling cycle, whatever the processor. */
     public val visits: Long,
     /** The sets of types that some work is confined to while other work could run elsewhere. */
     public val scarce: List<Set<MachineType>> = emptyList(),
@@ -105,18 +105,18 @@
 )
 
 /**
- * One placement round: what is known goes in, decisions come out. The most important jobs come first, work within a
+ * One placement scheduling cycle: what is known goes in, decisions come out. The most important jobs come first, work within a
  * team's guarantee before borrowed room, then those whose aims are due sooner, then older jobs before younger ones; each
  * task goes to the fullest machine that it fits. Exceptions, in [detour]: a machine that lacks the image, one that is
  * empty, and one that other work needs more ([Scarcity]) come later by as many seconds as that costs; and for services a machine is as full as
  * its services make it.
  *
- * Room only shrinks within a round, so that most of the fleet is never looked at twice: machines that are too full for
+ * Room only shrinks within a scheduling cycle, so that most of the fleet is never looked at twice: machines that are too full for
  * any pending task are left out from the start or dropped on the way, a job walks along its candidates once, and what
  * found no room once isn't tried again.
  */
-public class Round(private val input: RoundInput) {
-    /** What this round has left of a machine. */
+public class SchedulingCycle(private val input: CycleInput) {
+    /** What this scheduling cycle has left of a machine. */
     private inner class Room(val of: MachineView) {
         var free = of.free
         var leaving = of.leaving
@@ -124,7 +124,7 @@
         var empty = of.empty
         var fetchingGb = of.fetching.values.sum()
 
-        /** Images that are being fetched, those for tasks placed in this round included. */
+        /** Images that are being fetched, those for tasks placed in this scheduling cycle included. */
         val coming = HashSet(of.fetching.keys)
         val victims = ArrayList(of.victims)
 
@@ -144,7 +144,7 @@
     private val unplaced = ArrayList<Unplaced>()
     private var visits = 0L
 
-    /** The least that any task here takes: what has less room is of no use to this round. */
+    /** The least that any task here takes: what has less room is of no use to this scheduling cycle. */
     private val least = least()
     private val open = ArrayList<Room>()
 
@@ -154,7 +154,7 @@
     /** Where tasks could be stopped for more important ones. */
     private val yielding = ArrayList<Room>()
 
-    public fun decide(): RoundOutput {
+    public fun decide(): CycleOutput {
         val mostImportant = input.jobs.maxOfOrNull { it.spec.priority }
         for (view in input.machines) {
             visits++
@@ -178,7 +178,7 @@
             while (keeping.isNotEmpty() && keeping.first().spec.priority > job.spec.priority) keepFree(keeping.removeFirst())
             if (job.spec.kind == JobKind.GANG) placeGang(job) else placeTasks(job)
         }
-        return RoundOutput(placed, stopped, unplaced, visits, scarcity.scarce, scarcity.keptCount)
+        return CycleOutput(placed, stopped, unplaced, visits, scarcity.scarce, scarcity.keptCount)
     }
 
     private fun least(): Resources {
@@ -272,7 +272,7 @@
         var warmRoom = true
         for (index in job.pending) {
             if (!input.quota.allows(spec.team, spec.need)) break
-            // Neither room nor zones ever come back within a round: what is passed over once is of no more use to this job.
+            // Neither room nor zones ever come back within a scheduling cycle: what is passed over once is of no more use to this job.
             while (next < candidates.size && !(takes(spec, candidates[next]) && spec.zoneAllows(zones, candidates[next].of.zone))) {
                 next++
             }
@@ -398,7 +398,7 @@
         return chosen.takeIf { spec.need.fitsIn(sum) }
     }
 
-    /** All of the pending tasks in this round, or none. */
+    /** All of the pending tasks in this scheduling cycle, or none. */
     private fun placeGang(job: JobView) {
         val spec = job.spec
         if (!input.quota.allows(spec.team, spec.need * job.pending.size)) return
@@ -423,7 +423,7 @@
 
     /**
      * A gang that misses some machines keeps the ones it could use: less important work, which comes later in this
-     * round, would take each of them as it falls free, and the gang would never find all at once.
+     * scheduling cycle, would take each of them as it falls free, and the gang would never find all at once.
      */
     private fun reserve(job: JobView, choices: List<List<Room>>) {
         val best = choices.maxByOrNull { it.size } ?: return
--- a/src/main/kotlin/org/elderhitch/settings/Settings.kt
+++ b/src/main/kotlin/org/elderhitch/settings/Settings.kt
@@ -82,7 +82,7 @@
     /** Where each controller is, as far as the settings say. */
     val nodeZones: Map<NodeName, Zone> get() = peers.mapNotNull { peer -> peer.zone?.let { peer.name to it } }.toMap() + (node to zone)
 
-    /** Classes whose aim on starting leaves no time to stop other work first: a save, two reports and a round. */
+    /** Classes whose aim on starting leaves no time to stop other work first: a save, two reports and a scheduling cycle. */
     val instantClasses: Set<String>
         get() = objectives.filter { it.kind == "wait" && it.within != null && it.within < workers.report * 2 + STOPPING }.map { it.jobClass }.toSet()
 
--- a/src/main/kotlin/org/elderhitch/workers/Conversation.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Conversation.kt
@@ -28,7 +28,7 @@
     private val onSettled: () -> Unit,
 ) {
     /** [round]: gives away the room that a report brought, before it is answered. */
-    fun report(leading: Tenure.Leading, report: Report, now: Moment, tableComplete: Boolean, round: (WorkerState) -> Unit): ReportAnswer {
+    fun report(leading: Tenure.Leading, report: Report, now: Moment, tableComplete: Boolean, cycle: (WorkerState) -> Unit): ReportAnswer {
         if (report.term > leading.term) {
             ports.leadership(LeadershipMessage.TermSeen(report.term))
             return ReportAnswer.Elsewhere(null)
@@ -52,13 +52,13 @@
         if (obeys && tableComplete) settle(worker, report) else if (!obeys && takeover.closing(now)) return ReportAnswer.Elsewhere(null)
         val mayCommand = obeys && tableComplete && leading.mayCommand(now)
         val stops = commands.endings(worker, report.tasks, tableComplete, mayCommand) ?: return ReportAnswer.Elsewhere(null)
-        // It is answered in any case, so its session goes on: the round may give it something in this very answer.
+        // It is answered in any case, so its session goes on: the scheduling cycle may give it something in this very answer.
         renew(leading, worker, report, now)
         // It may still execute an earlier leader's command; its list counts once it has seen our term. And without the
         // jobs its tasks can't be judged: it is kept, and its next report is.
         if (!mayCommand) return ReportAnswer.Accepted(leading.term, stops)
         // Room that this report brings is given away in its own answer: the next report may be seconds off.
-        round(worker)
+        cycle(worker)
         return ReportAnswer.Accepted(leading.term, commands.of(worker, now, stops).also { given(worker, it, now) })
     }
 
@@ -114,7 +114,7 @@
 
     /**
      * Sends what was decided to workers whose next report is not due soon. In an answer it would be as safe and cheaper,
-     * but a task would wait for half a report's time, and an intent that is older than a round's budget is dropped.
+     * but a task would wait for half a report's time, and an intent that is older than a scheduling cycle's budget is dropped.
      */
     fun sendUrgent(leading: Tenure.Leading, now: Moment, answering: WorkerState?) {
         val workers = table.undelivered.iterator()
--- a/src/main/kotlin/org/elderhitch/workers/RoundFeed.kt
+++ b/src/main/kotlin/org/elderhitch/workers/CycleFeed.kt
@@ -15,7 +15,7 @@
 import org.elderhitch.placement.JobView
 import org.elderhitch.placement.KeptFree
 import org.elderhitch.placement.MachineView
-import org.elderhitch.placement.RoundInput
+import org.elderhitch.placement.CycleInput
 import org.elderhitch.placement.Tenant
 import org.elderhitch.placement.VictimView
 import org.elderhitch.quota.QuotaLedger
@@ -27,8 +27,8 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
 
-/** Makes the input of a placement round from the table. What did not change on a machine is not looked at again. */
-internal class RoundFeed(private val table: TaskTable, private val faults: Faults, private val teams: Map<TeamName, Team>, objectives: List<Objective>) {
+/** Makes the input of a placement scheduling cycle from the table. What did not change on a machine is not looked at again. */
+internal class CycleFeed(private val table: TaskTable, private val faults: Faults, private val teams: Map<TeamName, Team>, objectives: List<Objective>) {
     private val runs = RunTimes()
     private val due = DueTimes(objectives, runs)
     private val arrivals = Arrivals()
@@ -46,7 +46,7 @@
         coming: Map<MachineType, Int>,
         refused: Set<Market>,
         usable: (WorkerState) -> Boolean,
-    ): RoundInput {
+    ): CycleInput {
         if (catalog !== viewedWith) {
             viewedWith = catalog
             table.workers.values.forEach { it.changed() }
@@ -64,7 +64,7 @@
             if (worker.view?.fetching?.isNotEmpty() == true && now - worker.viewedAt > FETCH_SEEN_AFTER) worker.changed()
             (worker.view ?: view(worker, catalog, now)?.also { worker.view = it })?.let(machines::add)
         }
-        return RoundInput(machines, views, quota, keptFree + awaited(leading, mayHide), wholeMachines = table.jobs.values.any { it.isGang }, rush = rush, now = now, besideGpu = besideGpu(), expected = arrivals.expected(now), coming = coming)
+        return CycleInput(machines, views, quota, keptFree + awaited(leading, mayHide), wholeMachines = table.jobs.values.any { it.isGang }, rush = rush, now = now, besideGpu = besideGpu(), expected = arrivals.expected(now), coming = coming)
     }
 
     /**
@@ -198,7 +198,7 @@
     }
 
     private companion object {
-        /** A job of a hundred thousand tasks is placed a part at a time: no round could start more. */
+        /** A job of a hundred thousand tasks is placed a part at a time: no scheduling cycle could start more. */
         const val MAX_PENDING = 1000
         val FETCH_SEEN_AFTER = 2.seconds
 
--- a/src/main/kotlin/org/elderhitch/workers/FinishedNews.kt
+++ b/src/main/kotlin/org/elderhitch/workers/FinishedNews.kt
@@ -27,7 +27,7 @@
         // Parts of jobs wait for each other: each rewrites whole blocks, and the end of a job waits for none of that.
         val parts = now - lastParts > PARTS_EVERY
         val news = table.jobs.values.filter { !it.ended && it.done.count > it.finished.count && (parts || it.done.all) }
-        // Kept jobs are recorded many at a time and whole: their keeper packs them, once a round.
+        // Kept jobs are recorded many at a time and whole: their keeper packs them, once a scheduling cycle.
         val batches = (news.filter { !it.kept }.take(MAX_BATCHES) + if (parts) news.filter { it.kept && it.done.all } else emptyList())
             .map { FinishedBatch(it.id, it.version, it.done, it.done.beyond(it.finished), if (it.done.all) account(leading, it) else null, it.holdKey != null, it.blockVersions, it.kept) }
         if (batches.isEmpty()) return
--- a/src/main/kotlin/org/elderhitch/workers/Foreman.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Foreman.kt
@@ -19,9 +19,9 @@
 import org.elderhitch.leadership.TenureTimes
 import org.elderhitch.leadership.Term
 import org.elderhitch.placement.KeptFree
-import org.elderhitch.placement.Round
-import org.elderhitch.placement.RoundInput
-import org.elderhitch.placement.RoundOutput
+import org.elderhitch.placement.SchedulingCycle
+import org.elderhitch.placement.CycleInput
+import org.elderhitch.placement.CycleOutput
 import org.elderhitch.recovery.Reconciliations
 import org.elderhitch.settings.NodeName
 import org.elderhitch.settings.Objective
@@ -38,7 +38,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * The leader's view of workers and tasks: rebuilt from reports in each term, changed by reports and rounds. Follows the
+ * The leader's view of workers and tasks: rebuilt from reports in each term, changed by reports and scheduling cycles. Follows the
  * jobs in every role, so that a new term begins with a complete table.
  */
 public class Foreman(
@@ -53,7 +53,7 @@
     private val ports: ForemanPorts,
     wall: WallClock,
     rules: ClassRules = ClassRules.NONE,
-    private val onRound: (looks: Long) -> Unit = {},
+    private val onCycle: (looks: Long) -> Unit = {},
     silentReturnShare: Double = FleetPolicy().silentReturnShare,
     /** The part of a core that this node has. */
     cpuShare: Double = 1.0,
@@ -74,7 +74,7 @@
     private val delegates = ZoneDelegates(own, nodeZones, times, table, takeover, roster, ports)
     private val silence = Silence(table, takeover, workerTimes, leases, TICK, nodeZones.values.toSet(), inquiry, wakefulness, events, ports, delegates, silentReturnShare)
     private val consolidation = Consolidation(table)
-    private val feed = RoundFeed(table, faults, teams, objectives)
+    private val feed = CycleFeed(table, faults, teams, objectives)
     private val demand = DemandReport(table, silence.suspectAfter)
     private val holds = Holds(table, rules, ports)
     private val news = FinishedNews(table, clock, wall, ports)
@@ -91,11 +91,11 @@
     private var catalog: Catalog = Catalog.EMPTY
     private var tableComplete = false
     private var nextAttempt = 0L
-    private var lastRound = Moment.NEVER
+    private var lastCycle = Moment.NEVER
 
-    /** Rounds keep apart by a multiple of what one takes: answers and renewals never wait behind a row of them. */
-    private var roundAgain = Moment.NEVER
-    private val roundRest = ROUND_PART / cpuShare - 1
+    /** Scheduling cycles keep apart by a multiple of what one takes: answers and renewals never wait behind a row of them. */
+    private var cycleAgain = Moment.NEVER
+    private val cycleRest = CYCLE_PART / cpuShare - 1
     private var lastCounts = Moment.NEVER
     private var lastDemand = Moment.NEVER
 
@@ -257,7 +257,7 @@
         val now = clock.now()
         val leading = leading() ?: return delegates.answer(report, now) ?: ReportAnswer.Elsewhere((tenure as? Tenure.Following)?.leader)
         return conversation.report(leading, report, now, tableComplete) { worker ->
-            if (table.dirty && leading.mayCommand(now) && now > roundAgain) round(leading, now, answering = worker)
+            if (table.dirty && leading.mayCommand(now) && now > cycleAgain) cycle(leading, now, answering = worker)
         }
     }
 
@@ -273,7 +273,7 @@
         checkTakeover()
     }
 
-    // ---- rounds ------------------------------------------------------------------------------------------------
+    // ---- scheduling cycles ------------------------------------------------------------------------------------------------
 
     private fun tick() {
         val now = clock.now()
@@ -297,17 +297,17 @@
             lastHint = now
             ports.hint(leading, table.workers.values.associate { it.id to it.usedImages() })
         }
-        if (now > roundAgain && (table.dirty || now - lastRound > ROUND_EVERY)) round(leading, now)
+        if (now > cycleAgain && (table.dirty || now - lastCycle > CYCLE_EVERY)) cycle(leading, now)
     }
 
-    private fun round(leading: Tenure.Leading, now: Moment, answering: WorkerState? = null) {
+    private fun cycle(leading: Tenure.Leading, now: Moment, answering: WorkerState? = null) {
         if (catalog.isEmpty) return
         table.dirty = false
-        lastRound = now
+        lastCycle = now
         drainNoticed()
         val usable = { worker: WorkerState -> usable(worker, now) }
         val input = feed.input(leading, { takeover.mayHide(it, roster.known, catalog) }, takeover.reserved(roster.known, catalog), catalog, keptFree, now, roster.mostlyBooting(catalog, now), roster.booting(catalog, now), refused, usable)
-        val output = Round(input).decide()
+        val output = SchedulingCycle(input).decide()
         val held = GangStart(workerTimes.gangWait, table, catalog).heldBack(output.placed)
         for (placed in output.placed) assign(placed.task, placed.machine, placed.joinAttempt, now, held[placed.task] ?: Duration.ZERO)
         for (task in output.stopped) {
@@ -316,9 +316,9 @@
             events.info("task stopped for room", p.worker.id) { "task stopped for room task=$task machine=${p.worker.id}" }
             table.stop(job, p, if (job.spec.saves) job.spec.saveTakes + SAVE_MARGIN else Duration.ZERO)
         }
-        // A round that took longer than its budget sends nothing, and neither does a leader whose window has closed.
+        // A scheduling cycle that took longer than its budget sends nothing, and neither does a leader whose window has closed.
         val decided = clock.now()
-        if (leading.mayCommand(decided) && decided - now < times.roundBudget) conversation.sendUrgent(leading, decided, answering)
+        if (leading.mayCommand(decided) && decided - now < times.cycleBudget) conversation.sendUrgent(leading, decided, answering)
         if (now - lastDemand > DEMAND_EVERY) {
             lastDemand = now
             ports.fleet(FleetMessage.Demand(output.unplaced, demand.uses(catalog, now, roster.cleared, usable), demand.services(), takeover.settled, silence.cutZones, output.scarce))
@@ -326,13 +326,13 @@
         rest(input, output, now)
     }
 
-    private fun rest(input: RoundInput, output: RoundOutput, began: Moment) {
-        onRound(output.visits + input.machines.size)
+    private fun rest(input: CycleInput, output: CycleOutput, began: Moment) {
+        onCycle(output.visits + input.machines.size)
         val ended = clock.now()
-        roundAgain = ended + minOf(maxOf(ROUND_LEAST, (ended - began) * roundRest), ROUND_MOST)
+        cycleAgain = ended + minOf(maxOf(CYCLE_LEAST, (ended - began) * cycleRest), CYCLE_MOST)
         if (log.isDebugEnabled) {
             log.debug(
-                "round machines={} jobs={} placed={} unplaced={} visits={} kept={} took_ms={} free_cpus={}", input.machines.size, input.jobs.size,
+                "cycle machines={} jobs={} placed={} unplaced={} visits={} kept={} took_ms={} free_cpus={}", input.machines.size, input.jobs.size,
                 output.placed.size, output.unplaced.sumOf { it.count }, output.visits, output.kept, (ended - began).inWholeMilliseconds,
                 input.machines.groupBy { it.type }.map { (type, its) -> "$type:${its.size}:${its.sumOf { it.free.cpus }.toInt()}" },
             )
@@ -378,7 +378,7 @@
             join != null -> join
             else -> job.gang.attemptFor(job.placements.isNotEmpty()) { Attempt(nextAttempt++) } ?: return
         }
-        table.place(job, task, attempt, worker, Certainty.ASSIGNED, now + held + times.roundBudget, now + held)
+        table.place(job, task, attempt, worker, Certainty.ASSIGNED, now + held + times.cycleBudget, now + held)
         if (log.isDebugEnabled) {
             val cached = job.spec.image in worker.cachedImages(catalog.types[worker.type]?.cacheGb ?: 0.0)
             log.debug("task assigned task={} machine={} spot={} cached={}", task, machine, worker.spot, cached)
@@ -387,15 +387,15 @@
 
     private companion object {
         val TICK = 100.milliseconds
-        val ROUND_EVERY = 1.seconds
-        val ROUND_LEAST = 25.milliseconds
+        val CYCLE_EVERY = 1.seconds
+        val CYCLE_LEAST = 25.milliseconds
 
         /**
-         * Of five parts of what the leader has of the processor, rounds get one at most. Of five parts of its *time*, as it was first, one is nine tenths of 22% of a
+         * Of five parts of what the leader has of the processor, scheduling cycles get one at most. Of five parts of its *time*, as it was first, one is nine tenths of 22% of a
          * core: a new leader of 1,182 machines took reports in at 95 a second meanwhile.
          */
-        const val ROUND_PART = 5.0
-        val ROUND_MOST = 300.milliseconds
+        const val CYCLE_PART = 5.0
+        val CYCLE_MOST = 300.milliseconds
         val DEMAND_EVERY = 400.milliseconds
         val COUNTS_EVERY = 1.seconds
         val HINT_EVERY = 10.seconds
--- a/src/main/kotlin/org/elderhitch/workers/Holds.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Holds.kt
@@ -27,7 +27,7 @@
 
 /**
  * Holds of jobs. Only the leader knows whether something of a job was started, so it alone decides on one: from that moment on
- * no round starts anything of the job, and the hold is true once it is recorded under this term. If the write came to nothing, the
+ * no scheduling cycle starts anything of the job, and the hold is true once it is recorded under this term. If the write came to nothing, the
  * job goes on as before; if that can't be told, it stays held here for as long as the write may yet come through.
  */
 internal class Holds(private val table: TaskTable, private val rules: ClassRules, private val ports: ForemanPorts) {
--- a/src/main/kotlin/org/elderhitch/workers/TaskTable.kt
+++ b/src/main/kotlin/org/elderhitch/workers/TaskTable.kt
@@ -32,7 +32,7 @@
     /** Workers with a start or a stop that they have not been sent. */
     val undelivered = LinkedHashSet<WorkerState>()
 
-    /** Something changed that a round could make use of. */
+    /** Something changed that a scheduling cycle could make use of. */
     var dirty = true
 
     /** A new term starts from nothing but the jobs: what runs where is for the workers to say. */
--- a/src/main/kotlin/org/elderhitch/workers/WorkerState.kt
+++ b/src/main/kotlin/org/elderhitch/workers/WorkerState.kt
@@ -137,7 +137,7 @@
 
     val isEmpty: Boolean get() = placements.isEmpty() && tasks.none { it.phase != TaskPhase.EXITED }
 
-    /** As rounds see the machine; null: it changed since the last one. */
+    /** As scheduling cycles see the machine; null: it changed since the last one. */
     var view: MachineView? = null
     var viewedAt: Moment = Moment.NEVER
 
--- a/src/test/kotlin/org/elderhitch/lab/StormTest.kt
+++ b/src/test/kotlin/org/elderhitch/lab/StormTest.kt
@@ -89,9 +89,12 @@
     @Test
     fun `a zone that is cut for longer than a lease and comes back at once`() = holds(drawn(0, machines = 400))
 
-    /** With what is kept for confined work taken out, 0.05 of class `large` was served (`docs/design/scarcity.md`). */
+    /**
+     * With what is kept for confined work taken out (`Scarcity.keptOn`), 0.2 of class `large` was served, and 0.95 with it. Seed 102 stood here until jobs came by random numbers of
+     * their own: then it was another day, on which that guard made no difference.
+     */
     @Test
-    fun `large tasks are served among small ones while controllers and machines fail`() = holds(drawn(102, machines = 300).copy(shape = Shape.TYPES))
+    fun `large tasks are served among small ones while controllers and machines fail`() = holds(drawn(122, machines = 300).copy(shape = Shape.TYPES))
 
     /** With the mend taken out, the first storm that broke `ran_twice`. */
     @Test
--- a/src/test/kotlin/org/elderhitch/placement/ScarcityTest.kt
+++ b/src/test/kotlin/org/elderhitch/placement/ScarcityTest.kt
@@ -45,7 +45,7 @@
 
     private fun job(spec: JobSpec, order: Long = 1, late: Boolean = false) = JobView(spec, Revision(order), (0 until spec.tasks).toList(), emptyMap(), null, late = late)
 
-    private fun input(machines: List<MachineView>, jobs: List<JobView>, expected: List<Expected> = emptyList(), coming: Map<MachineType, Int> = emptyMap()) = RoundInput(
+    private fun input(machines: List<MachineView>, jobs: List<JobView>, expected: List<Expected> = emptyList(), coming: Map<MachineType, Int> = emptyMap()) = CycleInput(
         machines, jobs, QuotaLedger(mapOf(team to Team(team, 0.0, 0.0, null, null)), Resources.NONE), now = now, expected = expected, coming = coming,
     )
 
@@ -57,24 +57,24 @@
         val soon = machine("l1", large, *guests(16, now + 5.seconds).drop(1).toTypedArray())
         val later = machine("l2", large, *guests(16, now + 90.seconds).drop(1).toTypedArray())
         val jobs = listOf(job(spec("sack", sack, 10)), job(spec("kiln", kiln), 2))
-        val output = Round(input(listOf(soon, later, machine("s1", small)), jobs)).decide()
+        val output = SchedulingCycle(input(listOf(soon, later, machine("s1", small)), jobs)).decide()
         assertEquals(mapOf("s1" to 2, "l2" to 1), output.placed.groupingBy { it.machine.text }.eachCount(), "none on l1, whose guests leave first")
         assertEquals(listOf(setOf(large)), output.scarce)
-        val alone = Round(input(listOf(soon, later, machine("s1", small)), listOf(job(spec("sack", sack, 10))))).decide()
+        val alone = SchedulingCycle(input(listOf(soon, later, machine("s1", small)), listOf(job(spec("sack", sack, 10))))).decide()
         assertEquals(4, alone.placed.size, "with nothing large in sight the large machines are for all")
     }
 
     @Test
     fun `small work goes to machines that are of no use to large work, empty and without the image though they be`() {
         val input = input(listOf(machine("l1", large, Tenant(spec("kiln", kiln), now + 90.seconds)), machine("s1", small)), listOf(job(spec("sack", sack, 3))))
-        assertEquals(listOf("s1", "s1", "l1"), Round(input).decide().placed.map { it.machine.text })
+        assertEquals(listOf("s1", "s1", "l1"), SchedulingCycle(input).decide().placed.map { it.machine.text })
     }
 
     @Test
     fun `room is kept for what arrives by the time that guests leave, and no more`() {
         val idle = List(4) { machine("l$it", large) } + machine("s", small, *guests(2, now + 9.seconds))
         fun placed(perS: Double, coming: Int) =
-            Round(input(idle, listOf(job(spec("sack", sack, 100))), listOf(Expected(spec("kiln", kiln), perS)), mapOf(large to coming))).decide().placed.size
+            SchedulingCycle(input(idle, listOf(job(spec("sack", sack, 100))), listOf(Expected(spec("kiln", kiln), perS)), mapOf(large to coming))).decide().placed.size
         assertEquals(64, placed(0.0, 0))
         assertEquals(48, placed(0.4, 0), "two tasks are expected within the least horizon")
         assertEquals(64, placed(0.4, 1), "a machine that boots will take them")
@@ -84,7 +84,7 @@
     fun `more important work has the room that is kept, last of all`() {
         val machines = listOf(machine("l1", large), machine("s1", small))
         val urgent = job(spec("truck", sack, 4, Priority.HIGH))
-        val output = Round(input(machines, listOf(urgent, job(spec("kiln", kiln, 2), 2)))).decide()
+        val output = SchedulingCycle(input(machines, listOf(urgent, job(spec("kiln", kiln, 2), 2)))).decide()
         assertEquals(mapOf("s1" to 2, "l1" to 2), output.placed.filter { it.task.job == urgent.spec.id }.groupingBy { it.machine.text }.eachCount())
     }
 
@@ -115,8 +115,8 @@
                 val machines = List(larges) { machine("l$it", large, *running["l$it"].orEmpty().toTypedArray()) }
                 val jobs = listOf(job(spec("sack", sack, sacks), late = true), job(spec("kiln", kiln, kilns), 2, late = true))
                 val smalls = listOf(machine("s", small, *guests(2, at + 1000.seconds)))
-                val round = RoundInput(machines + smalls, jobs, QuotaLedger(mapOf(team to Team(team, 0.0, 0.0, null, null)), Resources.NONE), now = at)
-                for (placed in Round(round).decide().placed) {
+                val cycle = CycleInput(machines + smalls, jobs, QuotaLedger(mapOf(team to Team(team, 0.0, 0.0, null, null)), Resources.NONE), now = at)
+                for (placed in SchedulingCycle(cycle).decide().placed) {
                     val its = jobs.first { it.spec.id == placed.task.job }.spec
                     running.getOrPut(placed.machine.text) { ArrayList() }.add(Tenant(its, at + (20 + random.nextInt(60)).seconds))
                 }
--- a/src/test/kotlin/org/elderhitch/placement/RoundTest.kt
+++ b/src/test/kotlin/org/elderhitch/placement/SchedulingCycleTest.kt
@@ -22,7 +22,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-class RoundTest {
+class SchedulingCycleTest {
     private val full = Resources(48.0, 8.0, 384.0)
     private val team = TeamName("team")
 
@@ -68,12 +68,12 @@
         JobView(spec, Revision(order), (0 until spec.tasks).toList(), zones, null, due, probe)
 
     private fun decide(machines: List<MachineView>, jobs: List<JobView>, quota: QuotaLedger = quota()) =
-        Round(RoundInput(machines, jobs, quota)).decide()
+        SchedulingCycle(CycleInput(machines, jobs, quota)).decide()
 
     @Test
-    fun `no round breaks a limit, a place or a machine, whatever it is given`() {
+    fun `no scheduling cycle breaks a limit, a place or a machine, whatever it is given`() {
         val random = Random(6)
-        repeat(400) { round ->
+        repeat(400) { cycle ->
             val zones = listOf("a", "b", "c")
             val machines = List(random.nextInt(1, 12)) {
                 machine("m$it", zones.random(random), random.nextBoolean(), full * 1 - Resources(4.0, 1.0, 30.0) * random.nextInt(8), listOf("g8", "g4").random(random))
@@ -93,11 +93,11 @@
             }
             val limit = random.nextInt(4, 40).toDouble()
             val output = decide(machines, jobs, quota(limit))
-            assertKept("round $round", machines, jobs, output, limit)
+            assertKept("scheduling cycle $cycle", machines, jobs, output, limit)
         }
     }
 
-    private fun assertKept(what: String, machines: List<MachineView>, jobs: List<JobView>, output: RoundOutput, limit: Double) {
+    private fun assertKept(what: String, machines: List<MachineView>, jobs: List<JobView>, output: CycleOutput, limit: Double) {
         val specs = jobs.associate { it.spec.id to it.spec }
         val byMachine = machines.associateBy { it.id }
         assertEquals(output.placed.size, output.placed.map { it.task }.toSet().size, "$what: a task placed twice")
@@ -119,13 +119,13 @@
     }
 
     /**
-     * A backlog on a large and full fleet: the work of a round must follow the room there is, not jobs x tasks x machines,
+     * A backlog on a large and full fleet: the work of a scheduling cycle must follow the room there is, not jobs x tasks x machines,
      * which is 12 million looks at a machine here, and takes a small controller longer than a worker's lease.
      */
     @Test
     fun `a backlog on a large fleet keeps the limits and costs little`() {
         val random = Random(7)
-        repeat(3) { round ->
+        repeat(3) { cycle ->
             val task = Resources(5.0, 1.0, 27.0)
             val machines = List(1300) { n ->
                 val busy = if (random.nextInt(20) == 0) random.nextInt(9) else 8
@@ -140,10 +140,10 @@
                 }
             }
             val output = decide(machines, jobs, quota(200.0))
-            assertKept("round $round", machines, jobs, output, 200.0)
-            assertTrue(output.placed.isNotEmpty(), "round $round: nothing placed")
+            assertKept("scheduling cycle $cycle", machines, jobs, output, 200.0)
+            assertTrue(output.placed.isNotEmpty(), "scheduling cycle $cycle: nothing placed")
             // Seen: some 7,900.
-            assertTrue(output.visits < 20_000, "round $round: ${output.visits} looks at a machine")
+            assertTrue(output.visits < 20_000, "scheduling cycle $cycle: ${output.visits} looks at a machine")
         }
     }
 
@@ -173,7 +173,7 @@
         fun half() = machine("m1", free = full - Resources(16.0, 4.0, 120.0), lasting = 26.0)
         fun less() = machine("m2", free = full - Resources(16.0, 4.0, 120.0), lasting = 5.0)
         val service = job(spec(1, JobKind.SERVICE, 1, Priority.PRODUCTION, spot = false))
-        fun chosen(whole: Boolean) = Round(RoundInput(listOf(half(), less()), listOf(service), quota(), wholeMachines = whole)).decide().placed.single().machine
+        fun chosen(whole: Boolean) = SchedulingCycle(CycleInput(listOf(half(), less()), listOf(service), quota(), wholeMachines = whole)).decide().placed.single().machine
         assertEquals(MachineId("m2"), chosen(whole = false))
         assertEquals(MachineId("m1"), chosen(whole = true))
     }
@@ -216,7 +216,7 @@
     @Test
     fun `room kept free for production is taken by production alone`() {
         val service = spec(1, JobKind.SERVICE, 1, Priority.PRODUCTION, spot = false)
-        fun placed(job: JobView) = Round(RoundInput(listOf(machine("m1")), listOf(job), quota(), listOf(KeptFree(service, 3)))).decide().placed.size
+        fun placed(job: JobView) = SchedulingCycle(CycleInput(listOf(machine("m1")), listOf(job), quota(), listOf(KeptFree(service, 3)))).decide().placed.size
         assertEquals(5, placed(job(spec(2, tasks = 8))))
         assertEquals(8, placed(job(spec(2, JobKind.SERVICE, 8, Priority.PRODUCTION, spot = false))))
     }
@@ -259,15 +259,15 @@
         val beside = Resources(5.0, 0.0, 36.0)
         val small = spec(1, tasks = 1000, need = Resources(0.25, 0.0, 1.8))
         val photos = spec(2, tasks = 8, need = Resources(5.0, 1.0, 36.0))
-        fun round(jobs: List<JobView>, machine: MachineView) = Round(RoundInput(listOf(machine), jobs, quota(), besideGpu = beside)).decide().placed
-        val first = round(listOf(job(small)), machine("m"))
+        fun cycle(jobs: List<JobView>, machine: MachineView) = SchedulingCycle(CycleInput(listOf(machine), jobs, quota(), besideGpu = beside)).decide().placed
+        val first = cycle(listOf(job(small)), machine("m"))
         assertEquals(32, first.size, "8 of 48 processors are left beside eight accelerators")
         val left = full - small.need * first.size
-        assertEquals(8, round(listOf(job(photos)), machine("m", free = left)).size)
+        assertEquals(8, cycle(listOf(job(photos)), machine("m", free = left)).size)
         val busy = machine("m", free = Resources(8.0, 0.0, 96.0))
-        assertEquals(32, round(listOf(job(small)), busy).size, "with all accelerators taken the rest is free for all")
-        assertEquals(1, round(listOf(job(spec(3, need = Resources(16.0, 0.0, 64.0)))), machine("m")).size, "too large for what is left, ever")
-        assertEquals(192, Round(RoundInput(listOf(machine("m")), listOf(job(small)), quota())).decide().placed.size, "nobody uses accelerators")
+        assertEquals(32, cycle(listOf(job(small)), busy).size, "with all accelerators taken the rest is free for all")
+        assertEquals(1, cycle(listOf(job(spec(3, need = Resources(16.0, 0.0, 64.0)))), machine("m")).size, "too large for what is left, ever")
+        assertEquals(192, SchedulingCycle(CycleInput(listOf(machine("m")), listOf(job(small)), quota())).decide().placed.size, "nobody uses accelerators")
     }
 
     @Test
@@ -296,7 +296,7 @@
     fun `in a rush services take half of a machine, those that fetch for longest first`() {
         val services = List(4) { job(spec(it, JobKind.SERVICE, tasks = 4, priority = Priority.PRODUCTION, image = "img$it", imageGb = 5.0 + it), order = it + 1L) }
         val machines = List(2) { machine("m$it") }
-        fun rush(jobs: List<JobView>, on: List<MachineView>) = Round(RoundInput(on, jobs, quota(), rush = true)).decide()
+        fun rush(jobs: List<JobView>, on: List<MachineView>) = SchedulingCycle(CycleInput(on, jobs, quota(), rush = true)).decide()
         val output = rush(services, machines)
         assertEquals(listOf(3, 2, 1).map { JobId("req-$it") }, output.placed.map { it.task.job }.distinct())
         assertTrue(output.placed.groupBy { it.machine }.values.all { it.size == 5 }, "five take 25 of 28, which is half")
@@ -349,7 +349,7 @@
             return machine(id, free = Resources(5.0, 1.0, 100.0), victims = small + large)
         }
         val machines = listOf(busy("1", now - 100.seconds), busy("2", null), busy("3", now - 30.seconds))
-        val stopped = Round(RoundInput(machines, listOf(gang), quota(), now = now)).decide().stopped
+        val stopped = SchedulingCycle(CycleInput(machines, listOf(gang), quota(), now = now)).decide().stopped
         assertEquals(7, stopped.count { it.job.text == "req-large2" })
         assertEquals((0..11).toSet(), stopped.filter { it.job.text == "req-small2" }.map { it.index }.toSet(), "those that ran for least")
         assertEquals(19, stopped.size)
@@ -363,7 +363,7 @@
         val small = Resources(4.0, 0.0, 6.0)
         val urgent = job(spec(1, priority = Priority.HIGH, need = small))
         val late = JobView(spec(8, need = small), Revision(2), listOf(1), emptyMap(), null, late = true)
-        fun stopped(vararg machines: MachineView) = Round(RoundInput(machines.toList(), listOf(urgent, late), quota(), now = now)).decide().stopped.map { it.job.text }
+        fun stopped(vararg machines: MachineView) = SchedulingCycle(CycleInput(machines.toList(), listOf(urgent, late), quota(), now = now)).decide().stopped.map { it.job.text }
         assertEquals(listOf("req-8"), stopped(machine("m", free = Resources.NONE, victims = listOf(victim("9", small, 1), victim("8", small, 25)))))
         assertEquals(listOf("req-9"), stopped(machine("m", free = Resources.NONE, victims = listOf(victim("9", small, 1), victim("8", small, 45)))), "not at any price")
         val large = victim("7", Resources(32.0, 0.0, 56.0), 5)
