--- a/src/main/kotlin/org/elderhitch/workers/Foreman.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Foreman.kt
@@ -111,9 +111,7 @@
         }
     }
 
-    /** What is known of jobs and of the term comes before what waits for it: behind a row of reports each would be judged by older knowledge than there is. */
-    override fun isUrgent(message: ForemanMessage): Boolean =
-        message is ForemanMessage.Job || message is ForemanMessage.TenureIs || message is ForemanMessage.TableComplete
+    override fun isUrgent(message: ForemanMessage): Boolean = message is ForemanMessage.Knowledge
 
     override fun receive(message: ForemanMessage) {
         when (message) {
@@ -212,11 +210,7 @@
                 feed.opened(event.spec, clock.now())
                 table.open(event)
             }
-            is JobEvent.Finished -> table.jobs[event.id]?.let {
-                it.blockVersions += event.block to event.version
-                it.finished.addAll(event.tasks)
-                it.done.addAll(event.tasks)
-            }
+            is JobEvent.Finished -> table.finished(event)
             is JobEvent.Ended -> table.jobs[event.id]?.let { job ->
                 val leading = leading()
                 if (leading != null && job.finished.count > 0) {
--- a/src/main/kotlin/org/elderhitch/workers/ForemanMessages.kt
+++ b/src/main/kotlin/org/elderhitch/workers/ForemanMessages.kt
@@ -31,12 +31,15 @@
 }
 
 public sealed interface ForemanMessage {
+    /** What is known of jobs and of the term. It comes before all that waits: behind a row of reports each of these would be judged by older knowledge than there is. */
+    public sealed interface Knowledge : ForemanMessage
+
     public data class ReportIn(val report: Report, val reply: CompletableDeferred<ReportAnswer>) : ForemanMessage
-    public data class Job(val event: JobEvent) : ForemanMessage
-    public data class TenureIs(val tenure: Tenure) : ForemanMessage
+    public data class Job(val event: JobEvent) : Knowledge
+    public data class TenureIs(val tenure: Tenure) : Knowledge
 
     /** The table of jobs holds all that was recorded before the claim. */
-    public data class TableComplete(val term: Term) : ForemanMessage
+    public data class TableComplete(val term: Term) : Knowledge
 
     /** All machines that may run something of an earlier term, and those that never were given anything. */
     public data class Inventory(val term: Term, val mayRun: Collection<Machine>, val fresh: Collection<Machine>) : ForemanMessage
--- a/src/main/kotlin/org/elderhitch/workers/TaskTable.kt
+++ b/src/main/kotlin/org/elderhitch/workers/TaskTable.kt
@@ -52,6 +52,14 @@
 
     fun open(event: JobEvent.Opened): JobState = jobs.getOrPut(event.spec.id) { JobState(event.spec, event.version, clock.now(), event.kept) }
 
+    /** Tasks of a job that are recorded as finished. */
+    fun finished(event: JobEvent.Finished) {
+        val job = jobs[event.id] ?: return
+        job.blockVersions += event.block to event.version
+        job.finished.addAll(event.tasks)
+        job.done.addAll(event.tasks)
+    }
+
     /** An open job that a worker names, perhaps one that was not opened here yet; null: it has ended. */
     fun named(id: JobId): JobState? = jobs[id] ?: keeps(id)?.let(::open)
 
