--- a/src/test/kotlin/org/elderhitch/lab/StormTest.kt
+++ b/src/test/kotlin/org/elderhitch/lab/StormTest.kt
@@ -96,6 +96,18 @@
     @Test
     fun `large tasks are served among small ones while controllers and machines fail`() = holds(drawn(122, machines = 300).copy(shape = Shape.TYPES))
 
+    /**
+     * Many machines are deaf while half of the jobs are withdrawn, and hear again when nobody may command any more. With stops only inside the window, and the window on the lease alone, it
+     * breaks `ran_cancelled` 15 times (`docs/design/meetings.md`).
+     */
+    @Test
+    fun `a storm of stops that are lost before an outage`() = holds(
+        Schedule(
+            9, 100, 120.seconds,
+            listOf(Trouble(Kind.DEAF, 20.seconds, 8.seconds, 0.6), Trouble(Kind.WITHDRAWALS, 20.5.seconds, share = 0.5), Trouble(Kind.OUTAGE, 27.seconds, 60.seconds)),
+        ),
+    )
+
     /** With the mend taken out, the first storm that broke `ran_twice`. */
     @Test
     fun `the storm that found the broken rule again`() = holds(drawn(509))
