--- a/src/main/kotlin/org/elderhitch/workers/Conversation.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Conversation.kt
@@ -27,7 +27,7 @@
     private val hinted: (MachineId) -> Map<Image, Double>?,
     private val onSettled: () -> Unit,
 ) {
-    /** [round]: gives away the room that a report brought, before it is answered. */
+    /** [cycle]: gives away the room that a report brought, before it is answered. */
     fun report(leading: Tenure.Leading, report: Report, now: Moment, tableComplete: Boolean, cycle: (WorkerState) -> Unit): ReportAnswer {
         if (report.term > leading.term) {
             ports.leadership(LeadershipMessage.TermSeen(report.term))
@@ -65,7 +65,8 @@
     /** The report is being answered, so its session goes on. */
     private fun renew(leading: Tenure.Leading, worker: WorkerState, report: Report, now: Moment) {
         worker.answered(now)
-        if (report.term < leading.term) takeover.answered(worker.id, now)
+        // One that an answer to a command has settled since holds nothing that this term doesn't know.
+        if (report.term < leading.term && !worker.settled) takeover.answered(worker.id, now)
     }
 
     private fun worker(report: Report, now: Moment): WorkerState =
--- a/src/test/kotlin/org/elderhitch/app/Watched.kt
+++ b/src/test/kotlin/org/elderhitch/app/Watched.kt
@@ -10,6 +10,7 @@
 import org.elderhitch.lab.RuleBook
 import org.elderhitch.lab.World
 import org.elderhitch.lab.WorldSettings
+import org.elderhitch.time.Moment
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 import kotlin.time.Duration
@@ -69,7 +70,7 @@
         return status
     }
 
-    private suspend fun told(node: String, method: String, path: String, body: ByteArray?, tell: (Int, String?, org.elderhitch.time.Moment) -> Unit): Int? {
+    private suspend fun told(node: String, method: String, path: String, body: ByteArray?, tell: (Int, String?, Moment) -> Unit): Int? {
         val asked = world.clock.now()
         val response = line.call(Address("$node:80"), method, path, body, if (method == "GET") 2.seconds else 5.seconds) ?: return null
         val word = if (response.status in 200..201) Json.parseObject(response.body).stringOrNull("standing") else null
