Last read: work off the report path, one arm for malformed messages, garbled comments

Change: as said; decides as before. A malformed message between controllers is logged by one function.

--- a/src/main/kotlin/org/elderhitch/actor/Actor.kt
+++ b/src/main/kotlin/org/elderhitch/actor/Actor.kt
@@ -12,19 +12,14 @@
  * back as a message, so that an actor's state changes in one place and never under its feet.
  */
 public abstract class Actor<M : Any>(protected val scope: CoroutineScope) {
-    private val mailbox = Channel<Letter<M>>(Channel.UNLIMITED)
-    private val urgent = ConcurrentLinkedQueue<M>()
-
     /** What was told; null: something lies with the urgent messages. */
-    private class Letter<M>(val message: M?)
+    private val mailbox = Channel<M?>(Channel.UNLIMITED)
+    private val urgent = ConcurrentLinkedQueue<M>()
 
     public fun tell(message: M) {
-        if (isUrgent(message)) {
-            urgent.add(message)
-            mailbox.trySend(Letter(null))
-        } else {
-            mailbox.trySend(Letter(message))
-        }
+        val isUrgent = isUrgent(message)
+        if (isUrgent) urgent.add(message)
+        mailbox.trySend(message.takeUnless { isUrgent })
     }
 
     /** Urgent messages are received before all others that wait, and among themselves in their order. */
@@ -32,9 +27,9 @@
 
     public open fun start() {
         scope.launch {
-            for (letter in mailbox) {
+            for (message in mailbox) {
                 while (true) handle(urgent.poll() ?: break)
-                letter.message?.let(::handle)
+                message?.let(::handle)
             }
         }
     }
--- a/src/main/kotlin/org/elderhitch/app/Controller.kt
+++ b/src/main/kotlin/org/elderhitch/app/Controller.kt
@@ -66,7 +66,7 @@
     random: Random,
     features: Features = Features.NONE,
     private val bound: Footprint = Footprint.bound(Runtime.getRuntime().maxMemory()),
-    /** Told after each placement scheduling cycle how many looks at machines and candidates it took. */
+    /** Told after each scheduling cycle how many looks at machines and candidates it took. */
     onCycle: (looks: Long) -> Unit = {},
     /** Something recorded needs a feature that is off here: serving on would tell users falsely. */
     onUnserved: (reason: String) -> Unit = { error(it) },
--- a/src/main/kotlin/org/elderhitch/cluster/Cluster.kt
+++ b/src/main/kotlin/org/elderhitch/cluster/Cluster.kt
@@ -5,7 +5,6 @@
 import kotlinx.coroutines.launch
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.protobuf.ProtoBuf
 import kotlinx.serialization.protobuf.ProtoNumber
 import org.elderhitch.http.Handler
@@ -274,16 +273,16 @@
 
     private fun <T> decoded(bytes: ByteArray, serializer: kotlinx.serialization.KSerializer<T>): T? = try {
         ProtoBuf.decodeFromByteArray(serializer, bytes)
-    } catch (e: SerializationException) {
-        log.info("malformed message reason=\"{}\"", e.message)
-        null
     } catch (e: IllegalArgumentException) {
-        log.info("malformed message reason=\"{}\"", e.message)
-        null
+        malformed(e)
     } catch (e: IndexOutOfBoundsException) {
         // What the decoder makes of a message that is cut short within a number or a text.
+        malformed(e)
+    }
+
+    private fun malformed(e: RuntimeException): Nothing? {
         log.info("malformed message reason=\"{}\"", e.message)
-        null
+        return null
     }
 
     private companion object {
--- a/src/main/kotlin/org/elderhitch/fleet/Inventory.kt
+++ b/src/main/kotlin/org/elderhitch/fleet/Inventory.kt
@@ -16,7 +16,7 @@
 )
 
 /**
- * Reconciliations the cloud's lists with the machines of this term. A list describes a moment up to twice its lag ago ([lag]), and may be older than the one before: so
+ * Reconciles the cloud's lists with the machines of this term. A list describes a moment up to twice its lag ago ([lag]), and may be older than the one before: so
  * nothing is gone by its word that may have been rented since, and nobody's is what may just have been returned.
  */
 internal class Inventory(lag: Duration) {
--- a/src/main/kotlin/org/elderhitch/leadership/Tenure.kt
+++ b/src/main/kotlin/org/elderhitch/leadership/Tenure.kt
@@ -32,7 +32,7 @@
     val window: Duration,
     /** How long past its window a leader still answers reports, without commands. */
     val hold: Duration,
-    /** A placement scheduling cycle that took longer sends nothing. */
+    /** A scheduling cycle that took longer sends nothing. */
     val cycleBudget: Duration,
     val renewEvery: Duration,
 ) {
--- a/src/main/kotlin/org/elderhitch/placement/SchedulingCycle.kt
+++ b/src/main/kotlin/org/elderhitch/placement/SchedulingCycle.kt
@@ -105,7 +105,7 @@
 )
 
 /**
- * One placement scheduling cycle: what is known goes in, decisions come out. The most important jobs come first, work within a
+ * One scheduling cycle: what is known goes in, decisions come out. The most important jobs come first, work within a
  * team's guarantee before borrowed room, then those whose aims are due sooner, then older jobs before younger ones; each
  * task goes to the fullest machine that it fits. Exceptions, in [detour]: a machine that lacks the image, one that is
  * empty, and one that other work needs more ([Scarcity]) come later by as many seconds as that costs; and for services a machine is as full as
--- a/src/main/kotlin/org/elderhitch/recovery/MachineReconciliation.kt
+++ b/src/main/kotlin/org/elderhitch/recovery/MachineReconciliation.kt
@@ -58,7 +58,7 @@
     val cut: Duration,
 )
 
-/** Reconciliations the silence of machines with what else is known of them and their zone. Pure. */
+/** Reconciles the silence of machines with what else is known of them and their zone. Pure. */
 public class MachineReconciliation(private val times: SilenceTimes) {
     /** Nothing is returned sooner than that. */
     public val least: Duration = minOf(times.report, times.unlisted)
--- a/src/main/kotlin/org/elderhitch/workers/CommandList.kt
+++ b/src/main/kotlin/org/elderhitch/workers/CommandList.kt
@@ -9,7 +9,7 @@
      * For the answer to a report: stops, then starts, then what may be forgotten. What an answer can't hold stays as it is
      * for the next one: a start that counted as sent and was cut off at the end would be waited for in vain. [endings]: stops that come before all else, by [endings].
      */
-    fun of(worker: WorkerState, now: Moment, endings: List<Command> = emptyList()): List<Command> {
+    fun of(worker: WorkerState, now: Moment, endings: List<Command>): List<Command> {
         table.undelivered.remove(worker)
         val list = ArrayList(endings)
         val placements = worker.placements.values.toList()
@@ -34,13 +34,13 @@
     }
 
     /**
-     * The stops of all tasks on the worker, as it reports or was heard to have since, whose job's ending has been read: they go with every answer, since an ending is
+     * The stops of all tasks on the worker, those that it [named] and those of the table, whose job's ending has been read: they go with every answer, since an ending is
      * permanent and a worker that is answered without them keeps such tasks. Null: they can't all be told, so nothing may renew its lease. That is so if it names a
      * job which may have ended before what is known here, and if a start of an ended job is on its way to it, which only a leader inside its window may cut short.
      */
     fun endings(worker: WorkerState, named: List<TaskReport>, complete: Boolean, mayStart: Boolean): List<Command>? {
         val stops = LinkedHashSet<Command>()
-        for (task in named + worker.tasks) {
+        for (task in named) {
             if (task.phase != TaskPhase.EXITED && table.hasEnded(task.task.job, complete) ?: return null) stops.add(Command.Stop(task.task, task.attempt, Duration.ZERO))
         }
         for (p in worker.placements.values) {
--- a/src/main/kotlin/org/elderhitch/workers/Conversation.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Conversation.kt
@@ -43,7 +43,7 @@
         if (order != null && report.order <= order) {
             // But one that a command to the worker's own address has overtaken is no late one: it waits for its answer.
             if (now - worker.calledAt > WorkerTimes.ANSWER_WAIT) return ReportAnswer.Elsewhere(null)
-            val stops = commands.endings(worker, report.tasks, tableComplete, mayStart = false) ?: return ReportAnswer.Elsewhere(null)
+            val stops = commands.endings(worker, report.tasks + worker.tasks, tableComplete, mayStart = false) ?: return ReportAnswer.Elsewhere(null)
             renew(leading, worker, report, now)
             return ReportAnswer.Accepted(leading.term, stops)
         }
--- a/src/main/kotlin/org/elderhitch/workers/CycleFeed.kt
+++ b/src/main/kotlin/org/elderhitch/workers/CycleFeed.kt
@@ -27,7 +27,7 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
 
-/** Makes the input of a placement scheduling cycle from the table. What did not change on a machine is not looked at again. */
+/** Makes the input of a scheduling cycle from the table. What did not change on a machine is not looked at again. */
 internal class CycleFeed(private val table: TaskTable, private val faults: Faults, private val teams: Map<TeamName, Team>, objectives: List<Objective>) {
     private val runs = RunTimes()
     private val due = DueTimes(objectives, runs)
--- a/src/main/kotlin/org/elderhitch/workers/ZoneDelegates.kt
+++ b/src/main/kotlin/org/elderhitch/workers/ZoneDelegates.kt
@@ -74,8 +74,9 @@
                 log.info("lease delegate rests zone={}", zone)
             }
         }
+        if (term == null) return null
         // Of a job that isn't open here nothing is known for sure; of one that was seen to end, everything.
         val ended = report.tasks.filter { it.phase != TaskPhase.EXITED && table.hasEnded(it.task.job, complete = false) == true }
-        return term?.let { ReportAnswer.Accepted(it, ended.map { task -> Command.Stop(task.task, task.attempt, Duration.ZERO) }) }
+        return ReportAnswer.Accepted(term, ended.map { task -> Command.Stop(task.task, task.attempt, Duration.ZERO) })
     }
 }
--- a/src/test/kotlin/org/elderhitch/workers/CommandListTest.kt
+++ b/src/test/kotlin/org/elderhitch/workers/CommandListTest.kt
@@ -43,7 +43,7 @@
         val commands = CommandList(table)
         val seen = ArrayList<Command>()
         repeat(4) {
-            val answer = commands.of(worker, now)
+            val answer = commands.of(worker, now, endings = emptyList())
             assertTrue(answer.size <= 400, "${answer.size} commands")
             seen.addAll(answer)
             val started = answer.filterIsInstance<Command.Start>().map { it.task }.toSet()
