--- a/src/main/kotlin/org/elderhitch/app/Controller.kt
+++ b/src/main/kotlin/org/elderhitch/app/Controller.kt
@@ -25,6 +25,7 @@
 import org.elderhitch.http.Response
 import org.elderhitch.http.Transport
 import org.elderhitch.jobs.Admission
+import org.elderhitch.jobs.EndRecord
 import org.elderhitch.jobs.Footprint
 import org.elderhitch.jobs.JobBook
 import org.elderhitch.jobs.JobDesk
@@ -101,6 +102,7 @@
     private val desk = JobDesk(
         book, feed, client, settings.teams, { catalog.canEverRun(it) }, settings.stateLimits.valueBytes, wall,
         { leaderDesk.account(it.id) }, features.rules, Admission(bound) { cluster.leastBound() }, { featureSet().keeper(it) },
+        { id, record -> cluster.tellEnded(id, record) },
     )
     private val cluster: Cluster = Cluster(scope, settings.node, incarnation, settings.peers, transport, clock, clusterPorts())
     private val features: FeatureSet = FeatureSet(
@@ -241,6 +243,8 @@
 
         override val longestGrant: Duration = times.window + times.hold
 
+        override fun ended(endings: Map<JobId, EndRecord>) = endings.forEach { (id, record) -> book.tell(JobMessage.EndedElsewhere(id, record)) }
+
         override fun leaderCounts(counts: Map<JobId, Int>) = book.tell(JobMessage.Running(counts))
 
         override suspend fun serve(request: Request): Response = edge.serveHere(request)
--- a/src/main/kotlin/org/elderhitch/cluster/Cluster.kt
+++ b/src/main/kotlin/org/elderhitch/cluster/Cluster.kt
@@ -13,6 +13,7 @@
 import org.elderhitch.http.Request
 import org.elderhitch.http.Response
 import org.elderhitch.http.Transport
+import org.elderhitch.jobs.EndRecord
 import org.elderhitch.jobs.Footprint
 import org.elderhitch.jobs.JobId
 import org.elderhitch.leadership.Incarnation
@@ -95,6 +96,9 @@
     /** No leader names anybody for longer. */
     public val longestGrant: Duration
 
+    /** Endings that another controller has recorded. */
+    public fun ended(endings: Map<JobId, EndRecord>)
+
     public fun leaderCounts(counts: Map<JobId, Int>)
 
     /** Answers a user's request here, whatever it takes, without handing it on. */
@@ -122,6 +126,7 @@
 
     private val log = LoggerFactory.getLogger("elderhitch.cluster")
     private val states = peers.associate { it.name to PeerState(it) }
+    private val endings = EndingTeller(scope, self.text, peers, transport)
     private val formerTerms = FormerTerms(states.keys)
 
     public fun start() {
@@ -208,6 +213,20 @@
                 binary(ProtoBuf.encodeToByteArray(Hello.serializer(), own.copy(wardenMs = mine?.span?.inWholeMilliseconds ?: 0)))
             }
         }
+        EndingTeller.PATH -> {
+            val news = decoded(request.body, EndingNews.serializer())
+            when {
+                news == null -> HttpServer.refusal(BAD, "no news")
+                NodeName(news.node) !in states -> {
+                    log.info("ending ignored node={} reason=\"no such controller\"", news.node)
+                    HttpServer.refusal(BAD, "no such controller")
+                }
+                else -> {
+                    ports.ended(endings.heard(news))
+                    binary(ByteArray(0))
+                }
+            }
+        }
         "/cluster/forward" -> handedOn(request) { ports.serve(it) }
         "/cluster/lead" -> handedOn(request) { ports.lead(it) }
         else -> HttpServer.refusal(NOT_FOUND, "no such path")
@@ -219,6 +238,9 @@
         return binary(ProtoBuf.encodeToByteArray(ForwardedAnswer.serializer(), ForwardedAnswer(answer.status, answer.body, answer.headers)))
     }
 
+    /** A withdrawal has been recorded here. */
+    public fun tellEnded(id: JobId, record: EndRecord): Unit = endings.tell(id, record)
+
     /** The least that any other controller said that it can hold; null: none has said. */
     public fun leastBound(): Footprint? = states.values.mapNotNull { it.bound }.minOrNull()
 
@@ -258,6 +280,10 @@
     } catch (e: IllegalArgumentException) {
         log.info("malformed message reason=\"{}\"", e.message)
         null
+    } catch (e: IndexOutOfBoundsException) {
+        // What the decoder makes of a message that is cut short within a number or a text.
+        log.info("malformed message reason=\"{}\"", e.message)
+        null
     }
 
     private companion object {
--- a/src/main/kotlin/org/elderhitch/jobs/JobBook.kt
+++ b/src/main/kotlin/org/elderhitch/jobs/JobBook.kt
@@ -61,6 +61,9 @@
     public data class Recorded(val spec: JobSpec, val version: Revision) : JobMessage
     public data class EndedHere(val id: JobId, val record: EndRecord) : JobMessage
 
+    /** Another controller says that it has recorded the ending. */
+    public data class EndedElsewhere(val id: JobId, val record: EndRecord) : JobMessage
+
     /** The state service knows neither a record nor an ending, read after [Known.Nothing] was answered. */
     public data class AbsentHere(val id: JobId, val epoch: Int) : JobMessage
 
@@ -115,6 +118,11 @@
             is JobMessage.Lookup -> message.reply.complete(lookup(message.id))
             is JobMessage.Recorded -> opened(message.spec, message.version)
             is JobMessage.EndedHere -> ended(message.id, message.record)
+            is JobMessage.EndedElsewhere -> if (message.id in open) {
+                ended(message.id, message.record)
+            } else if (ended.getIfPresent(message.id) == null) {
+                log.info("ending ignored job={} reason=\"not open here\"", message.id)
+            }
             is JobMessage.AbsentHere -> if (message.epoch == epoch && lookup(message.id) is Known.Nothing) absent.put(message.id, Unit)
             is JobMessage.Proven -> onEvent(JobEvent.Proven(message.since))
             is JobMessage.Running -> open.forEach { (id, job) -> job.running = message.counts[id] ?: 0 }
--- a/src/main/kotlin/org/elderhitch/jobs/JobDesk.kt
+++ b/src/main/kotlin/org/elderhitch/jobs/JobDesk.kt
@@ -66,6 +66,8 @@
     private val rules: ClassRules = ClassRules.NONE,
     private val admission: Admission? = null,
     private val keeper: (JobId) -> JobKeeper? = { null },
+    /** Told of each withdrawal that this node has recorded. */
+    private val onWithdrawn: (JobId, EndRecord) -> Unit = { _, _ -> },
 ) {
     private val log = LoggerFactory.getLogger("elderhitch.jobs")
 
@@ -196,6 +198,7 @@
                 is CommitOutcome.Committed -> {
                     log.info("job withdrawn job={}", id)
                     book.tell(JobMessage.EndedHere(id, record))
+                    onWithdrawn(id, record)
                     return Answer.State(id, record.standing())
                 }
                 is CommitOutcome.Conflict -> if (!feed.sync()) return Answer.NotNow("the state service doesn't answer")
--- a/src/main/kotlin/org/elderhitch/lab/Network.kt
+++ b/src/main/kotlin/org/elderhitch/lab/Network.kt
@@ -62,6 +62,9 @@
     /** Nodes that the state service refuses. */
     val refused = HashSet<String>()
 
+    /** Whether the state service has an outage. */
+    var stateDown: () -> Boolean = { false }
+
     /** Nodes refuse each other's connections. */
     var peersRefuse = false
 
@@ -130,6 +133,8 @@
         val answer = if (late.isPositive()) handledLate(late, to, handler, request) else handled(host, handler, request)
         if (machine != null) delay(slowAnswers())
         if (machine in deaf) delay(Duration.INFINITE)
+        // Of a node that it refuses, open watches wait as during an outage.
+        if (host == "state" && request.path == "/watch") while (from in refused || stateDown()) delay(REFUSED_LOOK)
         if (host == "state" && from in watchless && request.path == "/watch") delay(Duration.INFINITE)
         if (host == "state") delay(slowState(request))
         between(host, source)?.let { if (it.mode == CutMode.HOLD) it.over.await() else delay(Duration.INFINITE) }
@@ -240,5 +245,6 @@
         /** How many requests that meet a cut were sent on connections that stood before it. */
         const val OPEN_ALREADY = 0.5
         val LATENCY = 3.milliseconds
+        val REFUSED_LOOK = 20.milliseconds
     }
 }
--- a/src/main/kotlin/org/elderhitch/lab/StormLab.kt
+++ b/src/main/kotlin/org/elderhitch/lab/StormLab.kt
@@ -61,7 +61,7 @@
             world.platform.cloud.listLag = 2.seconds
             val rules = RuleBook(time.clock, (pace.leaseS + CANCEL_BEYOND_LEASE).seconds, world.limits, world::machine)
             world.alsoTold = rules
-            val users = StormUsers(world, rules, schedule.machines, schedule.shape, random)
+            val users = StormUsers(world, rules, schedule.machines, schedule.shape, schedule.seed)
             launch {
                 while (true) {
                     delay(1.seconds)
@@ -78,11 +78,12 @@
             }
             val last = schedule.troubles.maxOfOrNull { it.at + it.lasts * if (it.kind == Kind.ROLL) Schedule.NODES else 1 } ?: Duration.ZERO
             delay(begins + maxOf(schedule.span, last) - time.clock.now())
+            rules.troublesOver()
             val served = Served(users.batches + users.services, time.clock.now() - DUE)
             val (after, missing) = recovery(world, users, rules, BOUND) { if (it >= SERVED_AFTER) served.look(rules, users) }
             served.look(rules, users)
             rules.end()
-            val unserved = served.least?.takeIf { it.second < HALF }?.let { "only ${it.second} of ${it.first} was served" }
+            val unserved = served.least?.takeIf { it.second < HALF }?.let { "only ${it.second} of ${it.first} was served" } ?: served.late(rules, users)
             StormOutcome(schedule, rules.broken.toList(), after, missing ?: unserved, served.least?.second, figures(world, users) + ("served_least" to served.least?.second))
         }
     }
@@ -196,6 +197,22 @@
                 network.lateCommands = { null }
             }
             Kind.BURST -> users.burst(scope, trouble.share)
+            Kind.DEAF -> {
+                val deaf = world.platform.workers().keys.sorted().filter { draw() }.toSet()
+                network.deaf += deaf
+                delay(trouble.lasts)
+                network.deaf -= deaf
+            }
+            Kind.COPIES -> {
+                network.lateCopies = { if (draw()) random.nextInt(2_000, 60_000).milliseconds else null }
+                delay(trouble.lasts)
+                network.lateCopies = { null }
+            }
+            Kind.SLOW_STATE -> {
+                network.slowState = { if (draw()) random.nextInt(100, 4_000).milliseconds else Duration.ZERO }
+                delay(trouble.lasts)
+                network.slowState = { Duration.ZERO }
+            }
         }
     }
 
@@ -209,6 +226,7 @@
         "state" -> host == "state"
         "workers" -> host.startsWith("host-")
         "peers" -> host in world.names
+        Trouble.CORE -> host == "state" || host in world.names
         else -> true
     }
 
--- a/src/main/kotlin/org/elderhitch/lab/World.kt
+++ b/src/main/kotlin/org/elderhitch/lab/World.kt
@@ -103,6 +103,7 @@
             addressOf = { "${it.id}:9000" }, made.fetchRate, made.types,
         )
         network.handlers["state:1"] = platform.state
+        network.stateDown = { platform.state.down }
         network.handlers["cloud:1"] = platform.cloud
         platform.start()
         made.costs?.let { costs -> network.onWork = { node, path -> standstills[node]?.charge(costs.of(path)) } }
--- /dev/null
+++ b/src/test/kotlin/org/elderhitch/app/EndingNewsTest.kt
@@ -0,0 +1,59 @@
+package org.elderhitch.app
+
+import kotlinx.coroutines.delay
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.protobuf.ProtoBuf
+import org.elderhitch.cluster.EndingNews
+import org.elderhitch.cluster.ToldEnding
+import org.elderhitch.http.Address
+import org.elderhitch.lab.World
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Controllers tell each other of withdrawals at once; what is told wrongly changes nothing. */
+@OptIn(ExperimentalSerializationApi::class)
+class EndingNewsTest {
+    private suspend fun World.tell(node: String, body: ByteArray): Int? = network.transport("n0").call(Address("$node:81"), "POST", "/cluster/ended", body, 2.seconds)?.status
+
+    private fun news(from: String, vararg endings: Pair<String, String>) =
+        ProtoBuf.encodeToByteArray(EndingNews.serializer(), EndingNews(from, endings.map { ToldEnding(it.first, it.second.encodeToByteArray()) }))
+
+    /** The state service refuses the leader alone, and then answers nobody: without the word of the node that confirmed, the tasks ran until their leases ended. */
+    @Test
+    fun `a leader that the state service refuses hears of withdrawals from the node that confirmed them`() = meetings(1L..2L) {
+        submit("req-1", "array", 8, 300.0)
+        untilRunning("req-1", 8)
+        val leader = assertNotNull(world.leader())
+        world.network.refused.add(leader)
+        delay(500.milliseconds)
+        withdraw("req-1", world.names.first { it != leader })
+        world.platform.state.down = true
+        world.until("stopped at the next reports", 5.seconds) { running("req-1") == 0 }
+    }
+
+    @Test
+    fun `news that is cut short, of nobody, of no job or of no ending is ignored`() = meetings(1L..1L) {
+        submit("req-1", "daemon", 4, 0.0)
+        untilRunning("req-1", 4)
+        val leader = assertNotNull(world.leader())
+        val good = news("n0", "req-1" to "{\"end\":\"withdrawn\",\"done\":0}")
+        for (length in 0 until good.size) world.tell(leader, good.copyOf(length))
+        val random = Random(1)
+        repeat(200) { world.tell(leader, random.nextBytes(random.nextInt(60))) }
+        assertEquals(400, world.tell(leader, news("n9", "req-1" to "{\"end\":\"withdrawn\",\"done\":0}")), "no such controller")
+        assertEquals(200, world.tell(leader, news("n0", "req-1" to "{\"end\":\"eaten\",\"done\":0}", "req-1" to "[]", "req-1" to "{\"end\":", "nonsense" to "{\"end\":\"done\",\"done\":0}")))
+        assertEquals(200, world.tell(leader, news("n0", "req-77" to "{\"end\":\"withdrawn\",\"done\":0}")), "a job that nobody has")
+        delay(3.seconds)
+        assertEquals(4, running("req-1"))
+        for (node in world.names) {
+            assertEquals(200, poll("req-1", node))
+            assertEquals(404, world.ask("GET", "/work/req-77", node = node).first)
+        }
+        assertTrue(rules.finalOf("req-1") == null)
+    }
+}
