--- a/src/main/kotlin/org/elderhitch/workers/CommandList.kt
+++ b/src/main/kotlin/org/elderhitch/workers/CommandList.kt
@@ -7,7 +7,7 @@
 internal class CommandList(private val table: TaskTable) {
     /**
      * For the answer to a report: stops, then starts, then what may be forgotten. What an answer can't hold stays as it is
-     * for the next one: a start that counted as sent and was cut off at the end would be waited for in vain.
+     * for the next one: a start that counted as sent and was cut off at the end would be waited for in vain. [endings]: stops that come before all else, by [endings].
      */
     fun of(worker: WorkerState, now: Moment, endings: List<Command> = emptyList()): List<Command> {
         table.undelivered.remove(worker)
--- a/src/main/kotlin/org/elderhitch/workers/Explanation.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Explanation.kt
@@ -53,7 +53,7 @@
         if (job.version <= leading.counter && takeover.mayHide(spec, roster.known, catalog)) {
             lines.add("waits for a takeover: ${takeover.unheard.size} machines that may run it have not reported yet")
         }
-        if (!leading.mayCommand(now)) lines.add("waits for the state service: the leader can't renew its term")
+        if (!leading.mayCommand(now)) lines.add("waits for the state service: the leader can't prove that it leads and knows all that is recorded")
         if (job.notBefore > now) lines.add("at fault: failed on ${job.erredOn.size} machines and runs on none; tried again in ${(job.notBefore - now).inWholeSeconds} s")
         faults.probes(job)?.let { lines.add("failed on ${job.erredOn.size} machines: no more than a few tasks are tried at a time") }
         if (job.isGang && job.gang.broken) lines.add("the gang broke: waits for its members to exit before the next attempt")
--- a/src/test/kotlin/org/elderhitch/app/EndingNewsTest.kt
+++ b/src/test/kotlin/org/elderhitch/app/EndingNewsTest.kt
@@ -36,6 +36,27 @@
         world.until("stopped at the next reports", 5.seconds) { running("req-1") == 0 }
     }
 
+    /** Its record is gone and how it ended can't be read: it is neither run again nor called open, unknown or new, and whoever asks is told to ask later. */
+    @Test
+    fun `a stored ending that can't be read starts nothing and invents no answer`() = meetings(1L..1L) {
+        submit("req-1", "array", 4, 200.0)
+        submit("req-2", "daemon", 2, 0.0)
+        untilRunning("req-1", 4)
+        withdraw("req-1", world.names[0])
+        world.until("gone", 15.seconds) { running("req-1") == 0 }
+        val starts = world.startsOf.getValue("req-1/0")
+        world.platform.state.overwrite("v/z/end/req-1", mapOf("end" to "eaten", "done" to 0))
+        world.names.forEach(world::crash)
+        world.names.forEach(world::startNode)
+        world.until("the service is served", 30.seconds) { poll("req-2", "n0") == 200 }
+        for (node in world.names) assertEquals(503, poll("req-1", node))
+        assertEquals(503, world.ask("POST", "/work", Rehearsal.exampleJob("req-1", "array"), node = "n1").first)
+        assertEquals(503, world.ask("POST", "/work/req-1/withdraw", node = "n2").first)
+        delay(20.seconds)
+        assertEquals(starts, world.startsOf["req-1/0"])
+        assertEquals(2, running("req-2"))
+    }
+
     @Test
     fun `news that is cut short, of nobody, of no job or of no ending is ignored`() = meetings(1L..1L) {
         submit("req-1", "daemon", 4, 0.0)
