--- a/src/main/kotlin/org/elderhitch/lab/StormLab.kt
+++ b/src/main/kotlin/org/elderhitch/lab/StormLab.kt
@@ -197,6 +197,7 @@
                 network.lateCommands = { null }
             }
             Kind.BURST -> users.burst(scope, trouble.share)
+            Kind.WITHDRAWALS -> users.withdrawSome(scope, trouble.share)
             Kind.DEAF -> {
                 val deaf = world.platform.workers().keys.sorted().filter { draw() }.toSet()
                 network.deaf += deaf
--- a/src/main/kotlin/org/elderhitch/lab/StormUsers.kt
+++ b/src/main/kotlin/org/elderhitch/lab/StormUsers.kt
@@ -165,17 +165,26 @@
         if (withdrawAfter == null) return
         scope.launch {
             delay(withdrawAfter)
-            withdrawing.add(facts.id)
-            rules.asksToWithdraw(facts.id)
-            while (rules.finalOf(facts.id) == null) {
-                val asked = world.clock.now()
-                val response = request("POST", "/work/${facts.id}/withdraw", ByteArray(0), SUBMIT_TIMEOUT)
-                if (response != null) rules.told(facts.id, response.status, word(response), asked)
-                delay(1.seconds)
-            }
+            withdraw(facts)
         }
     }
 
+    private suspend fun withdraw(facts: JobFacts) {
+        if (!withdrawing.add(facts.id)) return
+        rules.asksToWithdraw(facts.id)
+        while (rules.finalOf(facts.id) == null) {
+            val asked = world.clock.now()
+            val response = request("POST", "/work/${facts.id}/withdraw", ByteArray(0), SUBMIT_TIMEOUT)
+            if (response != null) rules.told(facts.id, response.status, word(response), asked)
+            delay(1.seconds)
+        }
+    }
+
+    /** So large a share of the open jobs is withdrawn at once. */
+    fun withdrawSome(scope: CoroutineScope, share: Double) {
+        for (facts in services + batches) if (rules.finalOf(facts.id) == null && random.nextDouble() < share) scope.launch { withdraw(facts) }
+    }
+
     fun isWithdrawing(id: String): Boolean = id in withdrawing
 
     private suspend fun request(method: String, path: String, body: ByteArray?, timeout: Duration): Response? {
