Machines that answer and don't report get nothing new, and are returned when their lease is over

Cause: a reply to a question counted as a report. Change: the last word and the last report are two moments. Nothing new goes to a worker whose last report is older than 2.5 report times; a row of MachineReconciliation (mute) returns it once its lease is surely over, at the pace of silent ones, since until then it runs on. Workers that a lease delegate may be answering are not mute: the leader notes by when each delegate that doesn't ask may have answered.

--- a/src/main/kotlin/org/elderhitch/recovery/MachineReconciliation.kt
+++ b/src/main/kotlin/org/elderhitch/recovery/MachineReconciliation.kt
@@ -22,6 +22,8 @@
     val zoneCut: Boolean,
     /** A zone with a controller in it, of which not one machine has been heard in this term. */
     val zoneMissing: Boolean,
+    /** It answers questions at its own address, while its reports don't come: its lease runs out. */
+    val mute: Boolean = false,
 )
 
 /**
@@ -41,6 +43,9 @@
 
     /** A cut zone that a takeover waits for, with no other proof as early. */
     ZONE_CUT_WAITED_FOR(false),
+
+    /** It runs on until its lease is over, and from then on nothing: to return it sooner would end that for nothing. */
+    MUTE(false),
     SILENT(false),
 }
 
@@ -50,6 +55,9 @@
     val report: Duration,
     /** A report's time, an answer's, and two tries at other nodes. */
     val silent: Duration,
+
+    /** A lease, counted on this node's clock. */
+    val mute: Duration,
     val unlisted: Duration,
     /** A worker that was not asked may wait for two other nodes first. */
     val unaskedMargin: Duration,
@@ -68,7 +76,7 @@
         machine.unheard && machine.unlisted -> SilenceRow.UNLISTED
         machine.unreachableSince != null && !machine.zoneDoubtful && (takeoverOpen || heardSince(machine, machine.unreachableSince)) -> SilenceRow.DEAD
         machine.zoneMissing -> SilenceRow.ZONE_MISSING
-        !machine.zoneCut -> SilenceRow.SILENT
+        !machine.zoneCut -> if (machine.mute) SilenceRow.MUTE else SilenceRow.SILENT
         !machine.settled && takeoverOpen && !endsSoon -> SilenceRow.ZONE_CUT_WAITED_FOR
         else -> SilenceRow.ZONE_CUT
     }
@@ -80,6 +88,7 @@
     public fun patience(machine: SilentMachine, takeoverOpen: Boolean, endsSoon: Boolean): Duration {
         val base = when (row(machine, takeoverOpen, endsSoon)) {
             SilenceRow.UNLISTED -> return times.unlisted
+            SilenceRow.MUTE -> return times.mute
             SilenceRow.DEAD -> if (takeoverOpen) minOf(times.report, times.unlisted) else times.report
             SilenceRow.ZONE_MISSING, SilenceRow.ZONE_CUT -> times.cut
             SilenceRow.ZONE_CUT_WAITED_FOR, SilenceRow.SILENT -> times.silent
--- a/src/main/kotlin/org/elderhitch/workers/Conversation.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Conversation.kt
@@ -48,6 +48,7 @@
             return ReportAnswer.Accepted(leading.term, stops)
         }
         heard(leading, worker, report, now)
+        worker.lastReport = now
         val obeys = report.term == leading.term
         if (obeys && tableComplete) settle(worker, report) else if (!obeys && takeover.closing(now)) return ReportAnswer.Elsewhere(null)
         val mayCommand = obeys && tableComplete && leading.mayCommand(now)
@@ -84,7 +85,7 @@
         }
         worker.order = report.order
         worker.unreachable = false
-        worker.lastReport = now
+        worker.lastWord = now
         worker.address = report.address
         if (report.notice != null && worker.notice == null) {
             events.info("spot notice", worker.id) { "spot notice machine=${report.machine} notice_s=${report.notice}" }
@@ -124,7 +125,7 @@
             val address = worker.address
             val session = worker.order?.session
             if (worker === answering || worker.calling) continue
-            if (address == null || session == null || worker.unreachable || worker.lastReport + workerTimes.report - now < WORTH_CALLING) continue
+            if (address == null || session == null || worker.unreachable || worker.lastWord + workerTimes.report - now < WORTH_CALLING) continue
             val urgent = commands.urgent(worker, now)
             if (worker.placements.values.none { it.certainty == Certainty.ASSIGNED }) workers.remove()
             if (urgent.isEmpty()) continue
--- a/src/main/kotlin/org/elderhitch/workers/Inquiry.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Inquiry.kt
@@ -77,7 +77,7 @@
         }
         val asked = HashMap<Zone, Int>()
         for (worker in table.workers.values) {
-            if (now - maxOf(worker.lastReport, leading.claimedAt, wakefulness.since) <= overdueAfter || worker.releaseAsked != Moment.NEVER) continue
+            if (now - maxOf(worker.lastWord, leading.claimedAt, wakefulness.since) <= overdueAfter || worker.releaseAsked != Moment.NEVER) continue
             if (isCutOff(worker.zone) && asked.merge(worker.zone, 1, Int::plus).let { it != null && it > FEW }) continue
             ask(leading, worker.id, worker.address, now)
         }
--- a/src/main/kotlin/org/elderhitch/workers/Lease.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Lease.kt
@@ -12,7 +12,10 @@
  */
 internal class LeaseTimes(private val lease: Duration) {
     /** A lease that was renewed by nothing that left its worker after [last] is over from then on. */
-    fun overAfter(last: Moment): Moment = last + lease.stretched() + MARGIN
+    fun overAfter(last: Moment): Moment = last + longest
+
+    /** How long after the last report that renewed it a lease is surely over. */
+    val longest: Duration = lease.stretched() + MARGIN
 
     /** Whoever led before a claim answers nobody longer than its window and its hold time; from then on every lease that it kept alive is over. */
     fun overAfterClaim(claimed: Moment, times: TenureTimes): Moment = claimed + (times.window + times.hold + lease).stretched() + MARGIN
--- a/src/main/kotlin/org/elderhitch/workers/Silence.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Silence.kt
@@ -54,7 +54,7 @@
     /** A worker silent for so long gets nothing new. */
     val suspectAfter: Duration = workerTimes.report * 2.5 + 500.milliseconds
     private val releaseAfter = workerTimes.reportAtLatest + WorkerTimes.ANSWER_WAIT + NEXT_NODE * 2.0
-    private val reconciliation = MachineReconciliation(SilenceTimes(workerTimes.reportAtLatest, releaseAfter, UNLISTED_PATIENCE, UNASKED_MARGIN, UNHEARD_MARGIN, CUT_PATIENCE))
+    private val reconciliation = MachineReconciliation(SilenceTimes(workerTimes.reportAtLatest, releaseAfter, leases.longest, UNLISTED_PATIENCE, UNASKED_MARGIN, UNHEARD_MARGIN, CUT_PATIENCE))
     private val pace = ReturnPace(silentReturnShare)
 
     /** When the return of machines was asked for that have said nothing in this term. */
@@ -88,15 +88,22 @@
         unheardAsked.clear()
     }
 
+    /** It may be about to lose all that it runs, and would lose what it is given: it says nothing, or only answers what it is asked. */
+    fun isSuspect(worker: WorkerState, now: Moment): Boolean = now - minOf(worker.lastWord, renewedBy(worker)) > suspectAfter
+
+    /** When a report of it was last answered, here or by a lease delegate that is away. */
+    private fun renewedBy(worker: WorkerState): Moment = maxOf(worker.lastReport, delegates.renewedBy(worker.zone))
+
     fun isCutOff(zone: Zone): Boolean = zone in cutZones
 
     fun heard(worker: WorkerState) {
         quietTicks[worker.zone] = 0
-        lastWord[worker.zone] = worker.lastReport
+        lastWord[worker.zone] = worker.lastWord
     }
 
     fun watch(leading: Tenure.Leading, now: Moment, known: Map<MachineId, Machine>) {
         if (!leading.mayCommand(now)) closedAt = now
+        delegates.listen(now)
         val zones = HashMap<Zone, Hearing>()
         for (worker in table.workers.values) {
             val hearing = zones.getOrPut(worker.zone) { Hearing() }
@@ -145,10 +152,11 @@
     }
 
     /** How long this term has been able to hear anybody. */
-    private fun waited(leading: Tenure.Leading, now: Moment): Duration = now - maxOf(leading.claimedAt, wakefulness.since, closedAt)
+    private fun waited(leading: Tenure.Leading, now: Moment): Duration = now - listeningSince(leading)
+
+    private fun listeningSince(leading: Tenure.Leading): Moment = maxOf(leading.claimedAt, wakefulness.since, closedAt)
 
-    private fun listeningSince(worker: WorkerState, leading: Tenure.Leading): Moment =
-        maxOf(worker.lastReport, leading.claimedAt, wakefulness.since, closedAt)
+    private fun listeningSince(worker: WorkerState, leading: Tenure.Leading): Moment = maxOf(worker.lastWord, listeningSince(leading))
 
     /**
      * Zones that no report came from for longer than chance allows. Reports of many workers come evenly spread: the more
@@ -170,8 +178,13 @@
         val wanted = ArrayList<Wanted>()
         for (worker in table.workers.values) {
             if (now - worker.releaseAsked <= RELEASE_AGAIN) continue
-            val quiet = now - maxOf(listeningSince(worker, leading), reopenedAt[worker.zone] ?: Moment.NEVER)
-            judge(worker.id, worker.zone, unheard = false, worker.settled, quiet, now)?.let(wanted::add)
+            val reopened = reopenedAt[worker.zone] ?: Moment.NEVER
+            val quiet = now - maxOf(listeningSince(worker, leading), reopened)
+            // What it says in reply counts as a word of it, and renews nothing.
+            val renewed = renewedBy(worker)
+            val mute = worker.lastWord - renewed > overdueAfter && quiet <= releaseAfter
+            val unreported = if (mute) now - maxOf(renewed, listeningSince(leading), reopened) else quiet
+            judge(worker.id, worker.zone, unheard = false, worker.settled, unreported, now, mute)?.let(wanted::add)
         }
         val waited = waited(leading, now)
         for (id in unheard) if (now - (unheardAsked[id] ?: Moment.NEVER) > RELEASE_AGAIN) judge(id, known[id]?.zone, unheard = true, settled = false, waited, now)?.let(wanted::add)
@@ -194,11 +207,11 @@
     /** A machine whose silence has lasted for as long as its standing asks. */
     private class Wanted(val id: MachineId, val zone: Zone?, val row: SilenceRow, val quiet: Duration, val unheard: Boolean)
 
-    private fun judge(id: MachineId, zone: Zone?, unheard: Boolean, settled: Boolean, quiet: Duration, now: Moment): Wanted? {
+    private fun judge(id: MachineId, zone: Zone?, unheard: Boolean, settled: Boolean, quiet: Duration, now: Moment, mute: Boolean = false): Wanted? {
         if (quiet <= reconciliation.least) return null
         val machine = SilentMachine(
             unheard, settled, inquiry.isUnlisted(id), inquiry.unreachableSince(id), inquiry.wasAskedInVain(id), lastWord[zone],
-            zone in doubtfulZones, zone in cutZones, zone in missingZones,
+            zone in doubtfulZones, zone in cutZones, zone in missingZones, mute,
         )
         val endsSoon = takeover.endsSoon(now)
         if (quiet <= reconciliation.patience(machine, !takeover.settled, endsSoon)) return null
@@ -212,7 +225,7 @@
 
     /** Its return had not gone out when it spoke. */
     fun spared(worker: WorkerState) {
-        if (worker.lastReport > worker.releaseAsked) worker.releaseAsked = Moment.NEVER
+        if (worker.lastWord > worker.releaseAsked) worker.releaseAsked = Moment.NEVER
         table.dirty = true
     }
 
--- a/src/main/kotlin/org/elderhitch/workers/WorkerState.kt
+++ b/src/main/kotlin/org/elderhitch/workers/WorkerState.kt
@@ -77,6 +77,11 @@
 
     /** A report with our term has come: its list is the truth. */
     var settled: Boolean = false
+
+    /** When it last said anything, by whatever way: a report, or a reply to a question or a command. */
+    var lastWord: Moment = since
+
+    /** When a report of its own last came here. Only those renew its lease: one that answers questions and sends none loses all that it runs. */
     var lastReport: Moment = since
 
     /** Null: it has said nothing yet. */
--- a/src/main/kotlin/org/elderhitch/workers/ZoneDelegates.kt
+++ b/src/main/kotlin/org/elderhitch/workers/ZoneDelegates.kt
@@ -12,10 +12,11 @@
 import org.elderhitch.delegates.ZoneStanding
 import org.slf4j.LoggerFactory
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** Lease delegates as the foreman has them: as a leader it names those of its zones, as a follower it may be one. */
 internal class ZoneDelegates(
-    own: NodeName,
+    private val own: NodeName,
     private val zoneOf: Map<NodeName, Zone>,
     times: TenureTimes,
     private val table: TaskTable,
@@ -32,7 +33,27 @@
     /** Nodes whose zone the settings don't tell; each is logged once. */
     private val homeless = HashSet<NodeName>()
 
-    fun newTerm() = promises.newTerm()
+    /** When each node last asked to be named: one that asks is not cut off, and answers nobody. */
+    private val askedAt = HashMap<NodeName, Moment>()
+    private val renewedBy = HashMap<Zone, Moment>()
+
+    fun newTerm() {
+        promises.newTerm()
+        askedAt.clear()
+        renewedBy.clear()
+    }
+
+    /** By when a lease delegate that this leader doesn't hear may last have answered workers of the zone; [Moment.NEVER]: none has been away. */
+    fun renewedBy(zone: Zone): Moment = renewedBy[zone] ?: Moment.NEVER
+
+    /** Called once a tick while this node leads. */
+    fun listen(now: Moment) {
+        for ((node, zone) in zoneOf) {
+            if (node == own || now - (askedAt[node] ?: Moment.NEVER) < AWAY) continue
+            val may = minOf(now, promises.lastAnswer(zone))
+            if (may > renewedBy(zone)) renewedBy[zone] = may
+        }
+    }
 
     /** No lease delegate of this term answers a report that leaves a worker of the zone after that. */
     fun lastAnswer(zone: Zone): Moment = promises.lastAnswer(zone)
@@ -44,6 +65,7 @@
             if (homeless.add(node)) log.info("lease delegate refused node={} reason=\"of no zone\"", node)
             return null
         }
+        askedAt[node] = now
         return if (tableComplete) promises.name(leading, zone, standing(zone), now) else null
     }
 
@@ -79,4 +101,9 @@
         val ended = report.tasks.filter { it.phase != TaskPhase.EXITED && table.hasEnded(it.task.job, complete = false) == true }
         return ReportAnswer.Accepted(term, ended.map { task -> Command.Stop(task.task, task.attempt, Duration.ZERO) })
     }
+
+    private companion object {
+        /** Nodes ask about once a second. */
+        val AWAY = 3.seconds
+    }
 }
--- a/src/test/kotlin/org/elderhitch/recovery/ReconciliationTest.kt
+++ b/src/test/kotlin/org/elderhitch/recovery/ReconciliationTest.kt
@@ -59,15 +59,15 @@
 
     // ---- machines ----------------------------------------------------------------------------------------------
 
-    private val times = SilenceTimes(report = 3.seconds, silent = 9.seconds, unlisted = 2.seconds, unaskedMargin = 6.seconds, unheardMargin = 3.seconds, cut = 90.seconds)
+    private val times = SilenceTimes(report = 3.seconds, silent = 9.seconds, mute = 18.seconds, unlisted = 2.seconds, unaskedMargin = 6.seconds, unheardMargin = 3.seconds, cut = 90.seconds)
     private val reconciliation = MachineReconciliation(times)
     private val now = Moment(0) + 1000.seconds
 
     private fun everyMachine(): List<SilentMachine> = buildList {
         for (unheard in flags) for (settled in flags) for (unlisted in flags) for (unreachable in listOf(null, now - 5.seconds)) for (asked in flags)
-            for (zoneHeard in listOf(null, now - 9.seconds, now - 1.seconds)) for (doubtful in flags) for (cut in flags) for (missing in flags) {
-                if (unheard && settled) continue
-                add(SilentMachine(unheard, settled, unlisted, unreachable, asked, zoneHeard, doubtful, cut, missing))
+            for (zoneHeard in listOf(null, now - 9.seconds, now - 1.seconds)) for (doubtful in flags) for (cut in flags) for (missing in flags) for (mute in flags) {
+                if (unheard && (settled || mute)) continue
+                add(SilentMachine(unheard, settled, unlisted, unreachable, asked, zoneHeard, doubtful, cut, missing, mute))
             }
     }
 
@@ -82,6 +82,8 @@
             if (!row.proven) assertTrue(patience >= times.silent, "$machine: $row after $patience, with no proof")
             if (row == SilenceRow.UNLISTED) assertTrue(machine.unheard && machine.unlisted, "a machine that has spoken is not returned by the word of an old list")
             if (row == SilenceRow.DEAD) assertTrue(!machine.zoneDoubtful && (open || machine.zoneHeard == now - 1.seconds), "a cut explains it: $machine")
+            // What it runs goes on until its lease is over.
+            if (row == SilenceRow.MUTE) assertTrue(machine.mute && patience >= times.mute, "$machine: $row after $patience")
             // A whole zone is silent: its machines run on, and their return would end all that is there.
             if (machine.zoneCut && machine.zoneDoubtful && machine.settled) assertTrue(patience >= times.cut, "$machine: $row after $patience")
             if (machine.zoneMissing && machine.zoneDoubtful && !machine.unlisted) assertTrue(patience >= times.cut, "$machine: $row after $patience")
