A node's late word of its own submission opens no job that the feed has passed

Cause: JobBook took Recorded at any time. If a reload of the feed, past whose revision the job had been recorded and ended, came before the answer to the node's own transaction, the job was opened for good: queued, and started by this node as a leader. Change: the book knows up to which revision it has been told; a record no newer than that is known already or has ended.

--- a/src/main/kotlin/org/elderhitch/jobs/JobBook.kt
+++ b/src/main/kotlin/org/elderhitch/jobs/JobBook.kt
@@ -107,6 +107,9 @@
     private val absent: Cache<JobId, Unit> = Caffeine.newBuilder().maximumSize(REMEMBERED_ABSENT).executor(Runnable::run).build()
     private var epoch = 0
 
+    /** What was recorded up to then has been told here: who records a job late hears nothing new of it, and perhaps less than there was. */
+    private var toldUpTo = Revision.ABSENT
+
     /** What the open jobs take of this process's memory. */
     public var footprint: Footprint = Footprint.NONE
         private set
@@ -114,9 +117,12 @@
     override fun receive(message: JobMessage) {
         when (message) {
             is JobMessage.Snapshot -> snapshot(message.entries, message.revision)
-            is JobMessage.Changed -> message.changes.forEach(::changed)
+            is JobMessage.Changed -> {
+                message.changes.forEach(::changed)
+                message.changes.maxOfOrNull { it.version }?.let { toldUpTo = maxOf(toldUpTo, it) }
+            }
             is JobMessage.Lookup -> message.reply.complete(lookup(message.id))
-            is JobMessage.Recorded -> opened(message.spec, message.version)
+            is JobMessage.Recorded -> if (message.version > toldUpTo) opened(message.spec, message.version)
             is JobMessage.EndedHere -> ended(message.id, message.record)
             is JobMessage.EndedElsewhere -> if (message.id in open) {
                 ended(message.id, message.record)
@@ -138,6 +144,7 @@
     private fun snapshot(entries: List<Entry>, revision: Revision) {
         // What began and ended since the last news is in no list.
         epoch++
+        toldUpTo = revision
         absent.invalidateAll()
         val present = entries.mapNotNull { (Keys.subject(it.key) as? Subject.Job)?.id }.toSet()
         // How these ended is not known here; whoever asks is answered from their own keys.
