A withdrawal found on a retry is told; intents that are there aren't rewritten; departed jobs by cancel_s

A withdrawal whose transaction got no answer was found by its retry and not told to the other controllers (a leader that the state service refuses kept its tasks, EndingNewsTest). An intent's write whose answer was lost was found by its version alone and written again (LateTransactionsTest: two writes for one). What a job took was forgotten after 120 s, whatever cancel_s (DepartedTest). Change: the retry tells; a read of the intent that holds what was to be written is the answer; the time is cancel_s and two leases.

--- a/src/main/kotlin/org/elderhitch/fleet/IntentBook.kt
+++ b/src/main/kotlin/org/elderhitch/fleet/IntentBook.kt
@@ -119,6 +119,8 @@
 
     private fun write(leading: Tenure.Leading, intent: HireIntent, then: (Revision?) -> FleetMessage) {
         val value = intent.encode()
+        val machines = intent.machines
+        val up = intent.up + intent.cameUp
         val key = Keys.hire(intent.name)
         scope.launch {
             var result: Revision? = null
@@ -139,9 +141,16 @@
                         leadership(LeadershipMessage.TermSeen(Term(leading.term.number + 1)))
                         break
                     }
-                    // An earlier try of this term came through after all: its version is the one to replace.
+                    // An earlier try of this term came through after all: this very one, or an earlier content, whose version is the one to replace. No two
+                    // contents of an intent are under way at once in a term: each write begins when the one before has told what came of it.
                     when (val read = store.read(key, Purpose.END)) {
-                        is ReadOutcome.Found -> intent.version = read.entry.version
+                        is ReadOutcome.Found -> {
+                            intent.version = read.entry.version
+                            if (decoded(intent.name, read.entry)?.let { it.machines == machines && it.up == up } == true) {
+                                result = read.entry.version
+                                break
+                            }
+                        }
                         ReadOutcome.Absent -> intent.version = Revision.ABSENT
                         ReadOutcome.Unavailable -> delay(WRITE_PAUSE)
                     }
--- a/src/main/kotlin/org/elderhitch/jobs/JobDesk.kt
+++ b/src/main/kotlin/org/elderhitch/jobs/JobDesk.kt
@@ -178,12 +178,17 @@
     }
 
     public suspend fun withdraw(id: JobId): Answer {
+        var unanswered = false
         repeat(TRIES) {
             if (lookup(id) !is Known.Open) {
                 val shown = show(id)
                 if (shown !is Answer.State) return shown
                 val known = lookup(id)
-                if (known is Known.Ended) return Answer.State(id, known.record.standing())
+                if (known is Known.Ended) {
+                    // Most likely recorded by the try that got no answer: others may hear of it as late as this node did.
+                    if (unanswered && known.record.how == Ending.WITHDRAWN) onWithdrawn(id, known.record)
+                    return Answer.State(id, known.record.standing())
+                }
                 if (known !is Known.Open) return keeper(id)?.withdraw(id) ?: shown
             }
             val open = lookup(id) as? Known.Open ?: return@repeat
@@ -202,7 +207,7 @@
                     return Answer.State(id, record.standing())
                 }
                 is CommitOutcome.Conflict -> if (!feed.sync()) return Answer.NotNow("the state service doesn't answer")
-                CommitOutcome.Unknown -> Unit
+                CommitOutcome.Unknown -> unanswered = true
                 CommitOutcome.Refused, CommitOutcome.NoSuchLease -> return Answer.NotNow("the state service takes no record now")
             }
         }
--- a/src/main/kotlin/org/elderhitch/settings/Settings.kt
+++ b/src/main/kotlin/org/elderhitch/settings/Settings.kt
@@ -48,6 +48,12 @@
     /** The longest that a worker leaves between two reports: they come a quarter early or late. */
     public val reportAtLatest: Duration get() = report * REPORT_SPREAD
 
+    /**
+     * For how long after a job has ended here a task of it may yet be found on a machine: what its user was told of it may be known here a lease earlier than to whoever
+     * kept it, and that one's machines are silent for a lease.
+     */
+    public val mayOutliveJob: Duration get() = cancel + lease * 2
+
     public companion object {
         private const val REPORT_SPREAD = 1.25
 
--- a/src/main/kotlin/org/elderhitch/workers/Foreman.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Foreman.kt
@@ -60,7 +60,7 @@
     keeps: (JobId) -> JobEvent.Opened? = { null },
 ) : Actor<ForemanMessage>(scope) {
     private val log = LoggerFactory.getLogger("elderhitch.workers")
-    private val table = TaskTable(clock, keeps)
+    private val table = TaskTable(clock, workerTimes.mayOutliveJob, keeps)
     private val events = EventLog(clock, log::info, log::error)
     private val reconciliations = Reconciliations(clock)
     private val leases = LeaseTimes(workerTimes.lease)
--- a/src/main/kotlin/org/elderhitch/workers/TaskTable.kt
+++ b/src/main/kotlin/org/elderhitch/workers/TaskTable.kt
@@ -7,10 +7,14 @@
 import org.elderhitch.time.Moment
 import org.elderhitch.time.SteadyClock
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
 
 /** The leader's table: the open jobs, the workers that report, and which task is where. */
-internal class TaskTable(private val clock: SteadyClock, private val keeps: (JobId) -> JobEvent.Opened? = { null }) {
+internal class TaskTable(
+    private val clock: SteadyClock,
+    /** For how long what a job's tasks took is remembered after its end. One of them that is found later counts as a whole machine. */
+    private val departedKept: Duration,
+    private val keeps: (JobId) -> JobEvent.Opened? = { null },
+) {
     /** Told when a task that was seen on a machine is gone from it without having completed. */
     var onLost: (JobState, Placement) -> Unit = { _, _ -> }
 
@@ -141,7 +145,7 @@
         val now = clock.now()
         departed[job.id] = job.spec to now
         val ended = departed.values.iterator()
-        while (ended.hasNext() && now - ended.next().second > DEPARTED_KEPT) ended.remove()
+        while (ended.hasNext() && now - ended.next().second > departedKept) ended.remove()
     }
 
     /** Where each task is by this table, surplus copies not counted. */
@@ -178,9 +182,4 @@
         worker.placements.remove(placement.task)
         jobs[placement.task.job]?.let { remove(it, placement) }
     }
-
-    private companion object {
-        /** Longer than tasks of a cancelled job may be anywhere (`cancel_s`). One that is found later counts as a whole machine. */
-        val DEPARTED_KEPT = 120.seconds
-    }
 }
--- a/src/test/kotlin/org/elderhitch/app/EndingNewsTest.kt
+++ b/src/test/kotlin/org/elderhitch/app/EndingNewsTest.kt
@@ -6,6 +6,7 @@
 import org.elderhitch.cluster.EndingNews
 import org.elderhitch.cluster.ToldEnding
 import org.elderhitch.http.Address
+import org.elderhitch.lab.Fate
 import org.elderhitch.lab.World
 import kotlin.random.Random
 import kotlin.test.Test
@@ -36,6 +37,23 @@
         world.until("stopped at the next reports", 5.seconds) { running("req-1") == 0 }
     }
 
+    /** Its transaction was executed and the answer lost: the retry found the ending there, and told nobody. */
+    @Test
+    fun `a withdrawal that is found on a retry is told as well`() = meetings(1L..2L) {
+        submit("req-1", "array", 8, 300.0)
+        untilRunning("req-1", 8)
+        val leader = assertNotNull(world.leader())
+        val other = world.names.first { it != leader }
+        world.network.refused.add(leader)
+        var lost = 0
+        world.fateOf = { node, commit -> if (node == other && "v/z/end/" in commit && lost++ == 0) Fate.AnswerLost else Fate.Answered }
+        delay(500.milliseconds)
+        withdraw("req-1", other)
+        world.platform.state.down = true
+        assertTrue(lost > 0)
+        world.until("stopped at the next reports", 5.seconds) { running("req-1") == 0 }
+    }
+
     /** Its record is gone and how it ended can't be read: it is neither run again nor called open, unknown or new, and whoever asks is told to ask later. */
     @Test
     fun `a stored ending that can't be read starts nothing and invents no answer`() = meetings(1L..1L) {
--- a/src/test/kotlin/org/elderhitch/app/LateTransactionsTest.kt
+++ b/src/test/kotlin/org/elderhitch/app/LateTransactionsTest.kt
@@ -10,6 +10,7 @@
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -91,4 +92,18 @@
         }
         assertEquals(shapes.keys, seen.keys, "a kind of write always got its answer")
     }
+
+    /** Found by its version alone, it was written once more: seconds in which its machines were given nothing, and a change more. */
+    @Test
+    fun `an intent that is there though its answer was lost is not written again`() = meetings(1L..3L) {
+        var lost = 0
+        val marked = HashMap<String, Int>()
+        world.fateOf = { _, commit -> if ("\"up\"" in commit && lost++ == 0) Fate.AnswerLost else Fate.Answered }
+        world.platform.state.onPut = { key -> if (shapeOf(key) == "hire" && world.platform.state.value(key)?.has("up") == true) marked.merge(key, 1, Int::plus) }
+        submit("req-1", "array", 4, 30.0)
+        untilRunning("req-1", 4)
+        assertTrue(lost > 0, "an answer was lost")
+        // All machines of a request boot within a tick of each other here.
+        assertEquals(setOf(1), marked.values.toSet(), "$marked")
+    }
 }
--- a/src/test/kotlin/org/elderhitch/workers/CommandListTest.kt
+++ b/src/test/kotlin/org/elderhitch/workers/CommandListTest.kt
@@ -21,7 +21,7 @@
 
 class CommandListTest {
     private val now = Moment(0) + 100.seconds
-    private val table = TaskTable(SteadyClock { now })
+    private val table = TaskTable(SteadyClock { now }, 120.seconds)
     private val worker = WorkerState(MachineId("m"), MachineType("g8"), Zone("a"), false, now)
 
     private fun job(id: String, tasks: Int): JobState {
--- /dev/null
+++ b/src/test/kotlin/org/elderhitch/workers/DepartedTest.kt
@@ -0,0 +1,35 @@
+package org.elderhitch.workers
+
+import org.elderhitch.app.Rehearsal
+import org.elderhitch.jobs.JobCodec
+import org.elderhitch.jobs.JobEvent
+import org.elderhitch.jobs.JobId
+import org.elderhitch.json.Json
+import org.elderhitch.settings.WorkerTimes
+import org.elderhitch.store.Revision
+import org.elderhitch.time.Moment
+import org.elderhitch.time.SteadyClock
+import kotlin.test.Test
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
+import kotlin.time.Duration.Companion.seconds
+
+/** What jobs took that have ended, for as long as a task of theirs may be found. */
+class DepartedTest {
+    /** It was a constant of 120 s, beside a time to cancel that deployments choose: with a longer one a task that was found late counted as a whole machine for its team. */
+    @Test
+    fun `what a job takes is remembered for as long as its tasks may be anywhere`() {
+        var now = Moment(0) + 100.seconds
+        val times = WorkerTimes(5.seconds, 31.seconds, 30.seconds, 4.seconds, cancel = 240.seconds)
+        val table = TaskTable(SteadyClock { now }, times.mayOutliveJob)
+        fun open(id: String) = table.open(JobEvent.Opened(JobCodec.decode(Json.parseObject(Json.bytes(Rehearsal.exampleJob(id, "array")))), Revision(7)))
+        table.end(open("req-1"))
+        now += times.cancel + times.lease
+        table.end(open("req-2"))
+        assertNotNull(table.departed(JobId("req-1")))
+        now += times.lease + 1.seconds
+        table.end(open("req-3"))
+        assertNull(table.departed(JobId("req-1")), "and not for ever")
+        assertNotNull(table.departed(JobId("req-2")))
+    }
+}
--- a/src/test/kotlin/org/elderhitch/workers/DuplicatesTest.kt
+++ b/src/test/kotlin/org/elderhitch/workers/DuplicatesTest.kt
@@ -25,7 +25,7 @@
 
 class DuplicatesTest {
     private val now = Moment(0) + 1000.seconds
-    private val table = TaskTable({ now })
+    private val table = TaskTable({ now }, 120.seconds)
     private val reconciler = Reconciler(table, Faults(table), { now }, EventLog({ now }, {}, {}))
     private val job = JobSpec(
         JobId("req-1"), "class", TeamName("team"), JobKind.ARRAY, Priority.NORMAL, 6, Resources(5.0, 1.0, 27.0), null, null, false,
--- a/src/test/kotlin/org/elderhitch/workers/FaultsTest.kt
+++ b/src/test/kotlin/org/elderhitch/workers/FaultsTest.kt
@@ -22,7 +22,7 @@
 
 class FaultsTest {
     private var now = Moment(0) + 1000.seconds
-    private val table = TaskTable(SteadyClock { now })
+    private val table = TaskTable(SteadyClock { now }, 120.seconds)
     private val faults = Faults(table)
 
     private fun job(id: String, tasks: Int = 40): JobState {
--- a/src/test/kotlin/org/elderhitch/workers/GangStartTest.kt
+++ b/src/test/kotlin/org/elderhitch/workers/GangStartTest.kt
@@ -24,7 +24,7 @@
 
 class GangStartTest {
     private val type = TypeInfo(MachineType("g8"), Resources(48.0, 8.0, 288.0), 120.0, 0.5, 15.0, 6.0, 60.seconds, listOf(Zone("a")))
-    private val table = TaskTable(SteadyClock { Moment(0) })
+    private val table = TaskTable(SteadyClock { Moment(0) }, 120.seconds)
 
     private fun held(imageGb: Double): Map<TaskId, Duration> {
         val spec = JobSpec(
