A team's limit bounds what machines are asked for, and keeps freed places for its waiting gangs

And gangs of such a team starved, since each place that fell free went to a single task of less important work. Change: the ledger counts what is wanted, team by team, within the limit; what a gang that comes first lacks under the limit is kept for it, unless services alone leave no room for it.

--- a/src/main/kotlin/org/elderhitch/placement/SchedulingCycle.kt
+++ b/src/main/kotlin/org/elderhitch/placement/SchedulingCycle.kt
@@ -278,6 +278,7 @@
             }
             val room = candidates.getOrNull(next)
             if (room == null) {
+                if (!input.quota.wants(spec.team, spec.need)) break
                 missing++
                 continue
             }
@@ -313,7 +314,7 @@
         if (job.spec.image !in room.of.images && room.coming.add(job.spec.image)) room.fetchingGb += job.spec.imageGb
         if (job.spec.kind == JobKind.SERVICE) room.lasting += job.spec.need.weight
         zones.merge(room.of.zone, 1, Int::plus)
-        input.quota.add(job.spec.team, job.spec.need)
+        input.quota.add(job.spec.team, job.spec.need, lasts = job.spec.kind == JobKind.SERVICE)
         placed.add(Placed(TaskId(job.spec.id, index), room.of.id, job.joinAttempt))
     }
 
@@ -401,7 +402,12 @@
     /** All of the pending tasks in this scheduling cycle, or none. */
     private fun placeGang(job: JobView) {
         val spec = job.spec
-        if (!input.quota.allows(spec.team, spec.need * job.pending.size)) return
+        val all = spec.need * job.pending.size
+        if (!input.quota.allows(spec.team, all)) {
+            // Room under the limit falls free bit by bit: less important work of its team would take each bit, and the gang would never find all at once.
+            if (input.quota.couldAllow(spec.team, all)) input.quota.add(spec.team, all)
+            return
+        }
         val candidates = candidates(spec)
         val byZone = candidates.groupBy { it.of.zone }
         val choices: List<List<Room>> = when {
@@ -413,7 +419,7 @@
         val choice = choices.firstNotNullOfOrNull { fit(job, it) }
         if (choice == null) {
             if (if (job.probe) !nowhereToTry(job) else stopForGang(job, candidates)) return
-            unplaced.add(Unplaced(spec, job.pending.size, job.zones))
+            if (input.quota.wants(spec.team, all)) unplaced.add(Unplaced(spec, job.pending.size, job.zones))
             reserve(job, choices)
             return
         }
--- a/src/main/kotlin/org/elderhitch/quota/Quota.kt
+++ b/src/main/kotlin/org/elderhitch/quota/Quota.kt
@@ -10,9 +10,24 @@
  */
 public class QuotaLedger(private val teams: Map<TeamName, Team>, private val reserved: Resources) {
     private val used = HashMap<TeamName, Resources>()
+    private val lasting = HashMap<TeamName, Resources>()
+    private val wanted = HashMap<TeamName, Resources>()
 
-    public fun add(team: TeamName, need: Resources) {
+    /** [lasts]: it ends only when its user says so. */
+    public fun add(team: TeamName, need: Resources, lasts: Boolean = false) {
         used[team] = used(team) + need
+        if (lasts) lasting[team] = (lasting[team] ?: Resources.NONE) + need
+    }
+
+    /**
+     * Counts what waits for machines, if the team's limit has room for that and all that was counted so before; false: machines for it would be of no use. Without it all work
+     * behind a team's last free place counted as waiting for machines, and hundreds were rented that its limit let nobody use.
+     */
+    public fun wants(team: TeamName, need: Resources): Boolean {
+        val before = wanted[team] ?: Resources.NONE
+        if (!allows(team, before + need)) return false
+        wanted[team] = before + need
+        return true
     }
 
     public fun remove(team: TeamName, need: Resources) {
@@ -21,9 +36,13 @@
 
     public fun used(team: TeamName): Resources = used[team] ?: Resources.NONE
 
-    public fun allows(team: TeamName, need: Resources): Boolean {
+    public fun allows(team: TeamName, need: Resources): Boolean = within(team, used(team) + reserved + need)
+
+    /** Whether there would be room under the limit if all that the team runs and that ends by itself had ended. */
+    public fun couldAllow(team: TeamName, need: Resources): Boolean = within(team, (lasting[team] ?: Resources.NONE) + reserved + need)
+
+    private fun within(team: TeamName, then: Resources): Boolean {
         val limits = teams[team] ?: return false
-        val then = used(team) + reserved + need
         return (limits.mostCpus == null || then.cpus <= limits.mostCpus + SLACK) &&
             (limits.mostGpus == null || then.gpus <= limits.mostGpus + SLACK)
     }
--- a/src/main/kotlin/org/elderhitch/workers/CycleFeed.kt
+++ b/src/main/kotlin/org/elderhitch/workers/CycleFeed.kt
@@ -53,7 +53,7 @@
         }
         val quota = QuotaLedger(teams, reserved + unknown(catalog))
         for (job in table.jobs.values) {
-            if (job.placements.isNotEmpty()) quota.add(job.spec.team, job.spec.need * job.copies)
+            if (job.placements.isNotEmpty()) quota.add(job.spec.team, job.spec.need * job.copies, lasts = job.spec.kind == JobKind.SERVICE)
         }
         for (worker in table.workers.values) for (job in worker.strangers) table.departed(job)?.let { quota.add(it.team, it.need) }
         val views = ordered(table.jobs.values.mapNotNull { job -> jobView(job, leading, mayHide, now)?.let { job to it } }, catalog, refused, now)
--- a/src/test/kotlin/org/elderhitch/placement/SchedulingCycleTest.kt
+++ b/src/test/kotlin/org/elderhitch/placement/SchedulingCycleTest.kt
@@ -373,4 +373,30 @@
             stopped(machine("m1", free = Resources.NONE, victims = listOf(large)), machine("m2", free = Resources.NONE, victims = listOf(victim("9", small, 60)))),
         )
     }
+
+    /** Seen (drawn day 103, simulated machines): a team of 999 of 1,000 accelerators had one place free and no machine, 414 machines were rented for all that waited behind it, and returned. */
+    @Test
+    fun `machines are asked for what a team's limit lets run, and no more`() {
+        val jobs = List(6) { job(spec(it, tasks = 50), order = it + 1L) }
+        for (left in 1..9) {
+            val output = decide(listOf(machine("m1", free = Resources(48.0, 3.0, 384.0))), jobs, quota(left.toDouble()))
+            assertEquals(minOf(left, 3), output.placed.size)
+            assertEquals(left - minOf(left, 3), output.unplaced.sumOf { it.count }, "$left places left")
+        }
+        val gangs = List(4) { job(spec(it, JobKind.GANG, tasks = 2, need = Resources(40.0, 8.0, 300.0)), order = it + 1L) }
+        assertEquals(2, decide(emptyList(), gangs, quota(40.0)).unplaced.size)
+    }
+
+    /** Gangs of a team at its limit starved beside its arrays: each place that fell free went to a single task. */
+    @Test
+    fun `what falls free under a limit is kept for a gang that comes first`() {
+        val gang = job(spec(1, JobKind.GANG, tasks = 2, priority = Priority.HIGH, need = Resources(40.0, 8.0, 300.0)))
+        val array = job(spec(2, tasks = 50), order = 2)
+        val machines = List(8) { machine("m$it") }
+        fun ledger(used: Double, lasts: Boolean) = quota(24.0).apply { add(team, Resources(0.0, used, 0.0), lasts) }
+        assertEquals(emptyList(), decide(machines, listOf(gang, array), ledger(12.0, lasts = false)).placed, "it waits for four more")
+        assertEquals(2 + 8, decide(machines, listOf(gang, array), ledger(0.0, lasts = false)).placed.size)
+        // Services end when their users say so: nothing waits behind a gang that waits for that.
+        assertEquals(12, decide(machines, listOf(gang, array), ledger(12.0, lasts = true)).placed.size)
+    }
 }
