More stops than an answer holds are told in several inside the window

Cause: CommandList.endings answered nobody whose ended jobs had more than 400 tasks on the machine, inside the window too; its lease ended with all that others ran there. A direct request had no bound at all, against PROTOCOL's 64 KiB. CommandListTest fails on the code before (900 in one request). Change: inside the window the first 400 go with this answer and the rest with the next; outside it all or none, as the proof asks. Requests hold 400 commands too.

--- a/src/main/kotlin/org/elderhitch/workers/CommandList.kt
+++ b/src/main/kotlin/org/elderhitch/workers/CommandList.kt
@@ -36,7 +36,8 @@
     /**
      * The stops of all tasks on the worker, those that it [named] and those of the table, whose job's ending has been read: they go with every answer, since an ending is
      * permanent and a worker that is answered without them keeps such tasks. Null: they can't all be told, so nothing may renew its lease. That is so if it names a
-     * job which may have ended before what is known here, and if a start of an ended job is on its way to it, which only a leader inside its window may cut short.
+     * job which may have ended before what is known here, and if a start of an ended job is on its way to it, which only a leader inside its window may cut short. More than an
+     * answer holds are told in several, one at each report; outside the window there may be no next one, so all or none.
      */
     fun endings(worker: WorkerState, named: List<TaskReport>, complete: Boolean, mayStart: Boolean): List<Command>? {
         val stops = LinkedHashSet<Command>()
@@ -47,7 +48,7 @@
             if (table.jobs[p.task.job]?.ended == false || p.certainty == Certainty.ASSIGNED) continue
             if (p.certainty == Certainty.REPORTED) stops.add(Command.Stop(p.task, p.attempt, Duration.ZERO)) else if (p.onItsWay && !mayStart) return null
         }
-        return stops.toList().takeIf { it.size <= MAX_COMMANDS }
+        return stops.toList().takeIf { mayStart || it.size <= MAX_COMMANDS }
     }
 
     private fun stop(p: Placement, grace: Duration, list: MutableList<Command>) {
@@ -75,6 +76,7 @@
     fun urgent(worker: WorkerState, now: Moment): List<Command> {
         val list = ArrayList<Command>()
         for (p in worker.placements.values) {
+            if (list.size == MAX_COMMANDS) break
             val stop = p.stop
             if (stop != null) {
                 if (p.certainty != Certainty.REPORTED || p.stopSent) continue
@@ -91,7 +93,7 @@
     }
 
     private companion object {
-        /** An answer's line may be 64 KiB long; a command takes some 100 bytes. */
+        /** An answer's line and a request's body may be 64 KiB long; a command takes some 100 bytes. */
         const val MAX_COMMANDS = 400
     }
 }
--- a/src/test/kotlin/org/elderhitch/workers/CommandListTest.kt
+++ b/src/test/kotlin/org/elderhitch/workers/CommandListTest.kt
@@ -15,6 +15,8 @@
 import org.elderhitch.time.SteadyClock
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
 import kotlin.test.assertTrue
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -57,4 +59,28 @@
         assertEquals(300, seen.takeWhile { it is Command.Stop }.size, "stops come first")
         assertTrue(worker !in table.undelivered)
     }
+
+    /**
+     * A job with more tasks on a machine than an answer holds was withdrawn: none of its stops went out, and the machine was not answered until its lease had ended, with all that
+     * others ran there. Outside the window it still is all or none, since there may be no next answer.
+     */
+    @Test
+    fun `more stops than an answer holds are told in several`() {
+        val ended = job("req-1", 900)
+        repeat(900) { table.place(ended, TaskId(ended.id, it), Attempt(it.toLong()), worker, Certainty.REPORTED, Moment.NEVER) }
+        table.end(ended)
+        val commands = CommandList(table)
+        fun named() = worker.placements.values.map { TaskReport(it.task, it.attempt, TaskPhase.RUNNING, null) }
+        assertNull(commands.endings(worker, named(), complete = true, mayStart = false))
+        val direct = commands.urgent(worker, now)
+        assertTrue(direct.size in 1..400, "${direct.size} in one request")
+        var answers = 0
+        while (worker.placements.isNotEmpty()) {
+            val stops = commands.of(worker, now, assertNotNull(commands.endings(worker, named(), complete = true, mayStart = true))).filterIsInstance<Command.Stop>()
+            assertTrue(stops.size in 1..400, "${stops.size} in one answer")
+            stops.forEach { stop -> worker.placements[stop.task]?.let { table.remove(ended, it) } }
+            answers++
+        }
+        assertEquals(3, answers)
+    }
 }
