--- a/src/main/kotlin/org/elderhitch/placement/SchedulingCycle.kt
+++ b/src/main/kotlin/org/elderhitch/placement/SchedulingCycle.kt
@@ -8,6 +8,7 @@
 import org.elderhitch.jobs.Priority
 import org.elderhitch.jobs.Resources
 import org.elderhitch.jobs.TaskId
+import org.elderhitch.quota.Places
 import org.elderhitch.quota.QuotaLedger
 import org.elderhitch.settings.Zone
 import org.elderhitch.store.Revision
@@ -278,7 +279,7 @@
             }
             val room = candidates.getOrNull(next)
             if (room == null) {
-                if (!input.quota.wants(spec.team, spec.need)) break
+                if (!input.quota.wants(spec.team, spec.need, places(spec))) break
                 missing++
                 continue
             }
@@ -299,6 +300,8 @@
         if (missing > 0) unplaced.add(Unplaced(spec, missing, zones))
     }
 
+    private fun places(spec: JobSpec) = Places(spec.types, spec.zone, spec.spotAllowed)
+
     /**
      * Machines are rented for a job that failed everywhere only where none is left to try it on. Seen: a job of one task failed on
      * the two machines that there were; both were returned as idle, and it waited for ever.
@@ -419,7 +422,7 @@
         val choice = choices.firstNotNullOfOrNull { fit(job, it) }
         if (choice == null) {
             if (if (job.probe) !nowhereToTry(job) else stopForGang(job, candidates)) return
-            if (input.quota.wants(spec.team, all)) unplaced.add(Unplaced(spec, job.pending.size, job.zones))
+            if (input.quota.wants(spec.team, all, places(spec))) unplaced.add(Unplaced(spec, job.pending.size, job.zones))
             reserve(job, choices)
             return
         }
--- a/src/main/kotlin/org/elderhitch/quota/Quota.kt
+++ b/src/main/kotlin/org/elderhitch/quota/Quota.kt
@@ -1,8 +1,13 @@
 package org.elderhitch.quota
 
+import org.elderhitch.jobs.MachineType
 import org.elderhitch.jobs.Resources
 import org.elderhitch.settings.Team
 import org.elderhitch.settings.TeamName
+import org.elderhitch.settings.Zone
+
+/** Where a job's tasks may go; null: any type, any zone. */
+public data class Places(val types: Set<MachineType>?, val zone: Zone?, val spot: Boolean)
 
 /**
  * What each team's tasks may be using: those stopping included, and, while it isn't settled what silent workers run,
@@ -11,7 +16,7 @@
 public class QuotaLedger(private val teams: Map<TeamName, Team>, private val reserved: Resources) {
     private val used = HashMap<TeamName, Resources>()
     private val lasting = HashMap<TeamName, Resources>()
-    private val wanted = HashMap<TeamName, Resources>()
+    private val wanted = HashMap<Pair<TeamName, Places>, Resources>()
 
     /** [lasts]: it ends only when its user says so. */
     public fun add(team: TeamName, need: Resources, lasts: Boolean = false) {
@@ -20,13 +25,14 @@
     }
 
     /**
-     * Counts what waits for machines, if the team's limit has room for that and all that was counted so before; false: machines for it would be of no use. Without it all work
-     * behind a team's last free place counted as waiting for machines, and hundreds were rented that its limit let nobody use.
+     * Counts what waits for machines, if the team's limit has room for that and all that was counted before for the same places; false: machines for it would be of no use.
+     * Without it all work behind a team's last free place counted as waiting for machines, and hundreds were rented that its limit let nobody use. Work for other
+     * places is counted apart: where nothing is to be had there, the limit's room must not be kept for it.
      */
-    public fun wants(team: TeamName, need: Resources): Boolean {
-        val before = wanted[team] ?: Resources.NONE
+    public fun wants(team: TeamName, need: Resources, at: Places): Boolean {
+        val before = wanted[team to at] ?: Resources.NONE
         if (!allows(team, before + need)) return false
-        wanted[team] = before + need
+        wanted[team to at] = before + need
         return true
     }
 
--- a/src/test/kotlin/org/elderhitch/placement/SchedulingCycleTest.kt
+++ b/src/test/kotlin/org/elderhitch/placement/SchedulingCycleTest.kt
@@ -385,6 +385,9 @@
         }
         val gangs = List(4) { job(spec(it, JobKind.GANG, tasks = 2, need = Resources(40.0, 8.0, 300.0)), order = it + 1L) }
         assertEquals(2, decide(emptyList(), gangs, quota(40.0)).unplaced.size)
+        // What waits for a zone where nothing may be had keeps no other work from being asked for.
+        val bound = job(spec(8, tasks = 50, zone = Zone("b")), order = 1)
+        assertEquals(mapOf("req-8" to 9, "req-9" to 5), decide(emptyList(), listOf(bound, job(spec(9, tasks = 5), order = 2)), quota(9.0)).unplaced.associate { it.spec.id.text to it.count })
     }
 
     /** Gangs of a team at its limit starved beside its arrays: each place that fell free went to a single task. */
