A team's waiting arrays begin with one task each after 30 s at its limit

Change: an array of which nothing has begun for 30 s, and whose team's limit doesn't let all of it run, has its first task before the next ones of others of its priority. Without limits nothing changes.

--- a/src/main/kotlin/org/elderhitch/placement/SchedulingCycle.kt
+++ b/src/main/kotlin/org/elderhitch/placement/SchedulingCycle.kt
@@ -63,8 +63,16 @@
     public val atFault: Boolean = false,
     /** It missed the first of its aims, or will. */
     public val late: Boolean = false,
+    /** Nothing of it has begun for long, at its team's limit: its first task comes before the next ones of others that are as important. */
+    public val begins: Boolean = false,
 ) {
     public fun due(at: Moment, late: Boolean): JobView = JobView(spec, order, pending, zones, joinAttempt, at, probe, atFault, late)
+
+    /** Its first task apart from the rest. */
+    public fun begun(): List<JobView> = listOf(
+        JobView(spec, order, pending.take(1), zones, joinAttempt, due, probe, atFault, late, begins = true),
+        JobView(spec, order, pending.drop(1), zones, joinAttempt, due, probe, atFault, late),
+    ).filter { it.pending.isNotEmpty() }
 }
 
 /** Room that work with no time for that finds free at once, rather than have less important work stopped for it. */
@@ -107,7 +115,7 @@
 
 /**
  * One scheduling cycle: what is known goes in, decisions come out. The most important jobs come first, work within a
- * team's guarantee before borrowed room, then those whose aims are due sooner, then older jobs before younger ones; each
+ * team's guarantee before borrowed room, then the first tasks of what has long waited at its team's limit, then those whose aims are due sooner, then older jobs before younger ones; each
  * task goes to the fullest machine that it fits. Exceptions, in [detour]: a machine that lacks the image, one that is
  * empty, and one that other work needs more ([Scarcity]) come later by as many seconds as that costs; and for services a machine is as full as
  * its services make it.
@@ -170,6 +178,7 @@
         }
         val order = compareByDescending<JobView> { it.spec.priority }
             .thenByDescending { input.quota.withinGuarantee(it.spec.team, it.spec.need) }
+            .thenByDescending { it.begins }
             // What is fetched for longest begins first, where all begin at once.
             .thenByDescending { if (input.rush && it.spec.kind == JobKind.SERVICE) it.spec.imageGb else 0.0 }
             .thenBy { it.due }
--- a/src/main/kotlin/org/elderhitch/workers/CycleFeed.kt
+++ b/src/main/kotlin/org/elderhitch/workers/CycleFeed.kt
@@ -57,6 +57,7 @@
         }
         for (worker in table.workers.values) for (job in worker.strangers) table.departed(job)?.let { quota.add(it.team, it.need) }
         val views = ordered(table.jobs.values.mapNotNull { job -> jobView(job, leading, mayHide, now)?.let { job to it } }, catalog, refused, now)
+            .flatMap { if (mustBegin(it, quota, now)) it.begun() else listOf(it) }
         val machines = ArrayList<MachineView>()
         for (worker in table.workers.values) {
             if (!usable(worker)) continue
@@ -197,7 +198,19 @@
         return jobs.map { (job, view) -> dues.getValue(job.id).let { view.due(it.at, it.late) } }
     }
 
+    /**
+     * Under a limit small jobs come before large ones for as long as there are any, and the large begin last, or never: each begins with one task after a while. Where nothing but
+     * machines is short, more are rented.
+     */
+    private fun mustBegin(view: JobView, quota: QuotaLedger, now: Moment): Boolean {
+        val job = table.jobs[view.spec.id] ?: return false
+        val alone = job.spec.kind == JobKind.ARRAY && !job.spec.spread && !job.spec.oneZone && !view.probe
+        return alone && job.placements.isEmpty() && job.done.count == 0 && now - job.openedAt > BEGIN_AFTER && !quota.allows(job.spec.team, job.spec.need * view.pending.size)
+    }
+
     private companion object {
+        val BEGIN_AFTER = 30.seconds
+
         /** A job of a hundred thousand tasks is placed a part at a time: no scheduling cycle could start more. */
         const val MAX_PENDING = 1000
         val FETCH_SEEN_AFTER = 2.seconds
--- a/src/test/kotlin/org/elderhitch/placement/SchedulingCycleTest.kt
+++ b/src/test/kotlin/org/elderhitch/placement/SchedulingCycleTest.kt
@@ -402,4 +402,15 @@
         // Services end when their users say so: nothing waits behind a gang that waits for that.
         assertEquals(12, decide(machines, listOf(gang, array), ledger(12.0, lasts = true)).placed.size)
     }
+
+    @Test
+    fun `the first task of what must begin comes before others' next ones, and never before more important work`() {
+        val waits = job(spec(1, tasks = 40), order = 9, due = Moment(0) + 900.seconds).begun()
+        assertEquals(listOf(1, 39), waits.map { it.pending.size })
+        val small = job(spec(2, tasks = 20), order = 1, due = Moment(0) + 10.seconds)
+        val urgent = job(spec(3, tasks = 3, priority = Priority.HIGH), order = 2)
+        fun placed(limit: Double) = decide(listOf(machine("m1")), waits + small + urgent, quota(limit)).placed.map { it.task.toString() }
+        assertEquals(listOf("req-3/0", "req-3/1", "req-3/2", "req-1/0", "req-2/0"), placed(5.0))
+        assertEquals(listOf("req-3/0", "req-3/1"), placed(2.0))
+    }
 }
