--- a/src/main/kotlin/org/elderhitch/quota/Quota.kt
+++ b/src/main/kotlin/org/elderhitch/quota/Quota.kt
@@ -1,5 +1,6 @@
 package org.elderhitch.quota
 
+import org.elderhitch.jobs.JobSpec
 import org.elderhitch.jobs.MachineType
 import org.elderhitch.jobs.Resources
 import org.elderhitch.settings.Team
@@ -7,7 +8,11 @@
 import org.elderhitch.settings.Zone
 
 /** Where a job's tasks may go; null: any type, any zone. */
-public data class Places(val types: Set<MachineType>?, val zone: Zone?, val spot: Boolean)
+public data class Places(val types: Set<MachineType>?, val zone: Zone?, val spot: Boolean) {
+    public companion object {
+        public fun of(spec: JobSpec): Places = Places(spec.types, spec.zone, spec.spotAllowed)
+    }
+}
 
 /**
  * What each team's tasks may be using: those stopping included, and, while it isn't settled what silent workers run,
