A report that a command has overtaken renews as well: the last report is the last answered one

Cause: read again: a report that the reply to a command overtook is answered and renews the lease, but did not count as a report; a worker that gets commands all the time might have passed for mute. Change: the moment is set where a report is answered.

--- a/src/main/kotlin/org/elderhitch/workers/Conversation.kt
+++ b/src/main/kotlin/org/elderhitch/workers/Conversation.kt
@@ -48,7 +48,6 @@
             return ReportAnswer.Accepted(leading.term, stops)
         }
         heard(leading, worker, report, now)
-        worker.lastReport = now
         val obeys = report.term == leading.term
         if (obeys && tableComplete) settle(worker, report) else if (!obeys && takeover.closing(now)) return ReportAnswer.Elsewhere(null)
         val mayCommand = obeys && tableComplete && leading.mayCommand(now)
@@ -66,6 +65,7 @@
     /** The report is being answered, so its session goes on. */
     private fun renew(leading: Tenure.Leading, worker: WorkerState, report: Report, now: Moment) {
         worker.answered(now)
+        worker.lastReport = now
         // One that an answer to a command has settled since holds nothing that this term doesn't know.
         if (report.term < leading.term && !worker.settled) takeover.answered(worker.id, now)
     }
--- a/src/main/kotlin/org/elderhitch/workers/WorkerState.kt
+++ b/src/main/kotlin/org/elderhitch/workers/WorkerState.kt
@@ -81,7 +81,7 @@
     /** When it last said anything, by whatever way: a report, or a reply to a question or a command. */
     var lastWord: Moment = since
 
-    /** When a report of its own last came here. Only those renew its lease: one that answers questions and sends none loses all that it runs. */
+    /** When a report of its own was last answered here. Only that renews its lease: one that answers questions and sends no reports loses all that it runs. */
     var lastReport: Moment = since
 
     /** Null: it has said nothing yet. */
