Encounters stand in the suite; a storm file's share, room and machines are checked

Cause: the new schedules had no test, and a storm file with an impossible share or no machines was played. Change: encounters are the same for the same seed, of all kinds, read back as written; three of them are played; shares, room and machines out of range are refused with the field's name.

--- a/src/main/kotlin/org/elderhitch/lab/Storm.kt
+++ b/src/main/kotlin/org/elderhitch/lab/Storm.kt
@@ -114,15 +114,20 @@
             val lost = from.stringOrNull("from") ?: "all"
             if (lost !in LOST && lost != OTHER_ZONES && lost != CORE) throw MalformedJson("from: $lost is none of ${LOST + OTHER_ZONES + CORE}")
             val mode = from.stringOrNull("mode")?.let { word -> CutMode.entries.firstOrNull { it.name.lowercase() == word } ?: throw MalformedJson("mode: $word is unknown") }
+            val share = from.amountOrNull("share") ?: 0.0
+            if (share !in 0.0..MOST_SHARE) throw MalformedJson("share: $share is out of range")
             val target = from.raw("target") as? Long ?: 0
             if (target !in LEADER..MOST_TARGETS) throw MalformedJson("target: $target is out of range")
             return Trouble(
-                kind, from.count("at_ms").milliseconds, (from.longOrNull("lasts_ms") ?: 0).milliseconds, from.amountOrNull("share") ?: 0.0,
+                kind, from.count("at_ms").milliseconds, (from.longOrNull("lasts_ms") ?: 0).milliseconds, share,
                 target.toInt(), lost, mode ?: CutMode.HOLD,
             )
         }
 
         private const val MOST_TARGETS = 8
+
+        /** A part of machines or messages; of slow boots, how many times slower. */
+        private const val MOST_SHARE = 20.0
     }
 }
 
@@ -156,6 +161,7 @@
         fun decode(text: ByteArray): Schedule {
             val body = Json.parseObject(text)
             val shape = body.stringOrNull("shape")?.let { word -> Shape.entries.firstOrNull { it.word == word } ?: throw MalformedJson("shape: $word is unknown") }
+            if (body.count("machines") == 0L) throw MalformedJson("machines: none")
             val room = body.amountOrNull("room") ?: 1.0
             if (room <= 0.0 || room > 1.0) throw MalformedJson("room: $room is out of range")
             return Schedule(
--- a/src/test/kotlin/org/elderhitch/lab/StormTest.kt
+++ b/src/test/kotlin/org/elderhitch/lab/StormTest.kt
@@ -43,6 +43,19 @@
         assertTrue(kinds.containsAll(setOf(Kind.DEAF, Kind.COPIES, Kind.SLOW_STATE, Kind.REFUSED, Kind.OUTAGE, Kind.CUT, Kind.CRASH, Kind.LATE_COMMITS, Kind.LATE_COMMANDS, Kind.WITHDRAWALS)), "$kinds")
     }
 
+    @Test
+    fun `encounters are the same for the same seed, of all kinds of the operators' second page, and read back as written`() {
+        val kinds = HashSet<Kind>()
+        for (seed in 1L..200L) {
+            val schedule = Encounters.draw(seed, 100, 180.seconds, 17.5.seconds)
+            assertEquals(schedule, Encounters.draw(seed, 100, 180.seconds, 17.5.seconds))
+            assertEquals(schedule, Schedule.decode(schedule.encode().encodeToByteArray()))
+            assertEquals(if (seed % 3 == 0L) 0.6 else 1.0, schedule.room)
+            kinds.addAll(schedule.troubles.map { it.kind })
+        }
+        assertTrue(kinds.containsAll(Kind.entries - Kind.DRAWN.toSet() - setOf(Kind.COPIES, Kind.SLOW_STATE)), "$kinds")
+    }
+
     @Test
     fun `a schedule file with a mistake is refused with the field's name`() {
         val good = drawn(5).encode()
@@ -54,6 +67,10 @@
             Triple("\"target\":${first.target}", "\"target\":77", "target"),
             Triple("\"mode\":\"${first.mode.name.lowercase()}\"", "\"mode\":\"slow\"", "mode"),
             Triple("\"shape\":\"accelerators\"", "\"shape\":\"round\"", "shape"),
+            Triple("\"room\":1.0", "\"room\":0.0", "room"),
+            Triple("\"share\":${first.share}", "\"share\":-0.5", "share"),
+            Triple("\"share\":${first.share}", "\"share\":70.0", "share"),
+            Triple("\"machines\":100", "\"machines\":0", "machines"),
             Triple("\"machines\":100", "\"machines\":\"many\"", "machines"),
         )) {
             val error = assertFailsWith<MalformedJson>(to) { Schedule.decode(good.replaceFirst(from, to).encodeToByteArray()) }
@@ -108,6 +125,10 @@
         ),
     )
 
+    /** Teams at their limits, users who look closely and withdraw at the end, mute machines, lost answers, copies kept for the next leader. */
+    @Test
+    fun `storms of encounters hold`() = listOf(12L, 46L, 51L).forEach { holds(Encounters.draw(it, 100, 180.seconds, StormLab.leaseOf(it))) }
+
     /** With the mend taken out, the first storm that broke `ran_twice`. */
     @Test
     fun `the storm that found the broken rule again`() = holds(drawn(509))
