--- /dev/null
+++ b/src/test/kotlin/org/elderhitch/app/LimitsMeetingsTest.kt
@@ -0,0 +1,100 @@
+package org.elderhitch.app
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.elderhitch.lab.WorldSettings
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Teams that use all they may when the leader changes, and machines that can't be asked (`docs/design/meetings.md`). */
+class LimitsMeetingsTest {
+    private val few = mapOf("desk" to "few", "accelerators" to 2.0)
+
+    /**
+     * Both teams at their limits, of accelerators and of cores, with more work waiting; jobs are withdrawn whose machines nobody reaches; the leader changes in those
+     * seconds, twice. What the machines may still run counts for its team until their word, their end or the cloud's says otherwise.
+     */
+    @Test
+    fun `jobs are withdrawn on machines that are cut off, mute, deaf or hang while every team is at its limit and the leader changes`() =
+        meetings(1L..12L, { WorldSettings(it, reportS = 3.0, leaseS = 17.5, mostGpus = 1000.0, mostCpus = 100.0, otherTeams = mapOf("few" to 16.0)) }) { seed ->
+            val random = Random(seed)
+            submit("req-1", "array", 4, 400.0, mapOf("cores" to 10.0))
+            submit("req-2", "daemon", 6, 0.0, mapOf("cores" to 10.0))
+            submit("req-3", "array", 8, 400.0, few)
+            untilRunning("req-1", 4)
+            untilRunning("req-2", 6)
+            untilRunning("req-3", 8)
+            // More than either may run, as long as the first are there.
+            submit("req-4", "array", 30, 15.0, mapOf("cores" to 10.0))
+            submit("req-5", "array", 20, 15.0, few)
+            repeat(2) { again ->
+                val (withdrawn, ofFew) = if (again == 0) "req-1" to "req-3" else "req-2" to "req-5"
+                world.until("both are at their limits", 120.seconds) { rules.usedBy("team").second == 100.0 && rules.usedBy("few").first == 16.0 }
+                val away = (hosts(withdrawn).values + hosts(ofFew).values).toSet().sorted().filter { random.nextInt(3) > 0 }.toSet()
+                // Whether they are returned decides what ends the takeover.
+                world.platform.cloud.down = random.nextBoolean()
+                val hanging = if (seed % 4 == 2L) world.platform.workers().filterKeys { it in away }.values else emptyList()
+                when (seed % 4) {
+                    0L -> world.silentWorkers = away
+                    1L -> world.network.mute = away
+                    2L -> hanging.forEach { it.hang() }
+                    else -> world.network.deaf = away
+                }
+                val led = assertNotNull(world.leader())
+                delay(random.nextInt(0, 1500).milliseconds)
+                world.outside.launch {
+                    delay(random.nextInt(0, 1500).milliseconds)
+                    world.crash(led)
+                    delay(4.seconds)
+                    world.startNode(led)
+                }
+                for (id in listOf(withdrawn, ofFew)) {
+                    delay(random.nextInt(0, 700).milliseconds)
+                    if (rules.finalOf(id) == null) withdraw(id, (world.names - led).random(random), 30.seconds)
+                }
+                delay(random.nextInt(5, 30).seconds)
+                world.silentWorkers = emptySet()
+                world.network.mute = emptySet()
+                world.network.deaf = emptySet()
+                hanging.forEach { it.resume() }
+                delay(5.seconds)
+                world.platform.cloud.down = false
+                if (again == 0) submit("req-6", "array", 40, 60.0, few)
+                if (again == 0) submit("req-7", "array", 40, 60.0, mapOf("cores" to 10.0))
+            }
+            delay(cancel)
+            rules.troublesOver()
+            world.until("the teams' work goes on", 400.seconds) { poll("req-4", world.names[0]); rules.finalOf("req-4") == "done" }
+        }
+
+    /** What two machines may run that nobody can ask, and that can't be returned, counts for the team until their leases are over, and no longer. */
+    @Test
+    fun `a team at its limit goes on once a takeover is over though some machines could not be asked`() =
+        meetings(1L..3L, { WorldSettings(it, reportS = 3.0, leaseS = 17.5, mostGpus = 24.0) }) { seed ->
+            submit("req-1", "array", 24, 40.0)
+            untilRunning("req-1", 24)
+            submit("req-2", "array", 48, 10.0)
+            val away = hosts("req-1").values.toSet().sorted().take(2).toSet()
+            world.silentWorkers = away
+            world.platform.cloud.down = true
+            val led = assertNotNull(world.leader())
+            delay((seed * 300).milliseconds)
+            world.crash(led)
+            delay(5.seconds)
+            world.startNode(led)
+            withdraw("req-1", (world.names - led).first(), 30.seconds)
+            // The longest time that a takeover may take, which a lease, the window and the hold time make.
+            delay(cancel)
+            assertEquals(0, running("req-1"))
+            assertTrue(starts.any { it.first.startsWith("req-2/") }, "seed $seed: the other work has begun")
+            world.silentWorkers = emptySet()
+            world.platform.cloud.down = false
+            rules.troublesOver()
+            world.until("all done", 200.seconds) { poll("req-2", world.names[0]); rules.finalOf("req-2") == "done" }
+        }
+}
