--- a/src/main/kotlin/org/elderhitch/lab/StormUsers.kt
+++ b/src/main/kotlin/org/elderhitch/lab/StormUsers.kt
@@ -27,6 +27,15 @@
     val services = ArrayList<JobFacts>()
     val batches = ArrayList<JobFacts>()
     private val withdrawing = HashSet<String>()
+    private val bodies = HashMap<String, ByteArray>()
+
+    /** Whether users look closely at what they were told, and which share of the jobs that complete is withdrawn at that moment. */
+    var looksClosely = false
+    var withdrawsAtEnd = 0.0
+
+    /** What a burst of habits has come to: close looks, requests that make no sense, and withdrawals at the end. */
+    var habits = 0
+        private set
     private val line = world.network.transport("user")
     private var next = 1
 
@@ -130,12 +139,14 @@
     private suspend fun submit(facts: JobFacts, kind: String, runs: Double, extra: Map<String, Any?>): Boolean {
         rules.submits(facts)
         val body = Json.bytes(Rehearsal.exampleJob(facts.id, kind) + mapOf("crates" to facts.tasks, "haulS" to runs) + extra)
+        bodies[facts.id] = body
         val began = world.clock.now()
         while (world.clock.now() - began < SUBMIT_PATIENCE) {
             val asked = world.clock.now()
             val response = request("POST", "/work", body, SUBMIT_TIMEOUT)
             if (response != null) rules.submitted(facts.id, response.status, word(response), asked)
             if (response?.status in OK..CREATED) {
+                look(facts.id)
                 waited.add(world.clock.now() - began)
                 if (random.nextInt(REPEAT_EVERY) == 0) {
                     delay(random.nextInt(40).seconds)
@@ -161,6 +172,7 @@
                 if (response != null && answered) rules.told(facts.id, response.status, word(response), asked)
                 rules.polled(facts.id, answered)
             }
+            look(facts.id)
         }
         if (withdrawAfter == null) return
         scope.launch {
@@ -176,10 +188,75 @@
             val asked = world.clock.now()
             val response = request("POST", "/work/${facts.id}/withdraw", ByteArray(0), SUBMIT_TIMEOUT)
             if (response != null) rules.told(facts.id, response.status, word(response), asked)
+            look(facts.id)
             delay(1.seconds)
         }
     }
 
+    /** All nodes are asked within milliseconds, and the submission is repeated at one of them. */
+    private fun look(id: String) {
+        if (!looksClosely) return
+        habits++
+        for (node in world.names.filter(world::isUp)) world.outside.launch {
+            delay(random.nextInt(1, 20).milliseconds)
+            val asked = world.clock.now()
+            line.call(Address("$node:80"), "GET", "/work/$id", null, POLL_PATIENCE)?.let { rules.told(id, it.status, word(it), asked) }
+        }
+        world.outside.launch { repeat(id) }
+    }
+
+    private suspend fun repeat(id: String) {
+        val asked = world.clock.now()
+        request("POST", "/work", bodies.getValue(id), SUBMIT_TIMEOUT)?.let { rules.submitted(id, it.status, word(it), asked) }
+    }
+
+    /** A task has completed; if it was its job's last, its user may call the job off in that moment. */
+    fun completed(task: String) {
+        if (withdrawsAtEnd <= 0.0) return
+        val facts = batches.firstOrNull { it.id == task.substringBeforeLast('/') } ?: return
+        if (rules.completedOf(facts.id) < (if (facts.gang) 1 else facts.tasks) || random.nextDouble() >= withdrawsAtEnd) return
+        habits++
+        world.outside.launch { withdraw(facts) }
+    }
+
+    /** Once: a repeated submission, the withdrawal of a job that is done, and a job that fits nothing, is of no team or lacks a field. */
+    suspend fun oddRequest() {
+        habits++
+        when (random.nextInt(3)) {
+            0 -> batches.filter { rules.finalOf(it.id) == null }.randomOrNull(random)?.let { repeat(it.id) }
+            1 -> batches.filter { rules.finalOf(it.id) == "done" }.randomOrNull(random)?.let { facts ->
+                val asked = world.clock.now()
+                request("POST", "/work/${facts.id}/withdraw", ByteArray(0), SUBMIT_TIMEOUT)?.let { rules.told(facts.id, it.status, word(it), asked) }
+            }
+            else -> {
+                val facts = JobFacts("req-odd-%05d".format(next++), "team", 1, 1.0, spotAllowed = true, impossible = true)
+                rules.submits(facts)
+                val spec = Rehearsal.exampleJob(facts.id, "array")
+                val wrong = listOf(spec + ("desk" to "nobody"), spec + ("cores" to 4000.0), spec + ("rigs" to listOf("none-such")), spec - "crates", spec - "lotKind", spec + ("crates" to 0)).random(random)
+                val asked = world.clock.now()
+                request("POST", "/work", Json.bytes(wrong), SUBMIT_TIMEOUT)?.let { rules.submitted(facts.id, it.status, word(it), asked) }
+            }
+        }
+    }
+
+    /** So large a share of the jobs that run is withdrawn within a fifth of a second. Where their tasks are. */
+    fun callOff(scope: CoroutineScope, share: Double): Set<String> {
+        val running = (services + batches).filter { facts -> rules.finalOf(facts.id) == null && (0 until facts.tasks).any { rules.isOn("${facts.id}/$it") } && random.nextDouble() < share }
+        for (facts in running) scope.launch {
+            delay(random.nextInt(0, 200).milliseconds)
+            withdraw(facts)
+        }
+        val ids = running.map { it.id }.toSet()
+        return world.onMachine.filterKeys { it.substringBeforeLast('/') in ids }.values.toSet()
+    }
+
+    /** A job of one task, which its user may call off at any time of its short life. */
+    fun oneTask(scope: CoroutineScope) {
+        val facts = JobFacts(id(), "team", 1, 0.0, spotAllowed = true, jobClass = "tally", submittedAt = world.clock.now(), cores = 1.0)
+        val body = mapOf("cores" to 1.0, "accelerators" to 0.0, "urgency" to "idle", "pullGb" to 0.5, "catchImage" to "img-tally")
+        comes(scope, facts, "array", 3.0 + random.nextInt(20), body, if (random.nextInt(4) == 0) random.nextInt(0, 20_000).milliseconds else null)
+    }
+
     /** So large a share of the open jobs is withdrawn at once. */
     fun withdrawSome(scope: CoroutineScope, share: Double) {
         for (facts in services + batches) if (rules.finalOf(facts.id) == null && random.nextDouble() < share) scope.launch { withdraw(facts) }
--- /dev/null
+++ b/src/test/kotlin/org/elderhitch/app/PressureMeetingsTest.kt
@@ -0,0 +1,100 @@
+package org.elderhitch.app
+
+import kotlinx.coroutines.delay
+import org.elderhitch.lab.WorldSettings
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** More work than room, nobody who leads, and work that may go nowhere else (`docs/design/meetings.md`). */
+class PressureMeetingsTest {
+    private val large = mapOf("cores" to 24.0)
+
+    /** Twelve machines, work for thirty, images that take most of a minute: the urgent begins first, and the rest is served once there is room, largest included. */
+    @Test
+    fun `more work than room, urgent and not, over slow links while a leader and machines are lost`() =
+        meetings(1L..3L, { WorldSettings(it, reportS = 3.0, leaseS = 17.5, mostGpus = 1000.0, fetchRate = 0.2) }) { seed ->
+            val random = Random(seed)
+            fun image(n: Int) = mapOf("catchImage" to "img-$n", "pullGb" to 4.0)
+            submit("req-0", "daemon", 8, 0.0, large + image(0) + mapOf("urgency" to "production", "spread" to true, "borrowedRigs" to false))
+            repeat(6) { submit("req-1$it", "array", 30, 20.0, mapOf("cores" to 12.0, "urgency" to "idle") + image(it % 3)) }
+            submit("req-2", "gang", 3, 20.0, mapOf("cores" to 40.0, "urgency" to "urgent", "samePlace" to true) + image(4))
+            submit("req-3", "array", 12, 15.0, mapOf("cores" to 12.0, "urgency" to "urgent") + image(5))
+            delay(random.nextInt(5, 40).seconds)
+            world.leader()?.let {
+                world.crash(it)
+                delay(4.seconds)
+                world.startNode(it)
+            }
+            hosts("req-10").values.toSet().sorted().take(2).forEach(world.platform::kill)
+            world.until("the urgent are done", 240.seconds) {
+                for (id in listOf("req-2", "req-3")) poll(id, world.names.random(random))
+                rules.finalOf("req-2") == "done" && rules.finalOf("req-3") == "done"
+            }
+            rules.troublesOver()
+            world.until("the services run", 120.seconds) { running("req-0") == 8 }
+            world.until("the rest is served", 1200.seconds) {
+                repeat(6) { poll("req-1$it", world.names.random(random)) }
+                (0..5).all { rules.finalOf("req-1$it") == "done" }
+            }
+        }
+
+    /** Every lease ends, by right; then everything is started once, nothing that was withdrawn or done, and whoever asks is answered. */
+    @Test
+    fun `all controllers are away for longer than a lease`() = meetings(1L..4L) { seed ->
+        val random = Random(seed)
+        submit("req-1", "daemon", 6, 0.0, large + ("spread" to true))
+        submit("req-2", "array", 8, 30.0)
+        submit("req-3", "array", 4, 3.0)
+        submit("req-4", "array", 8, 300.0)
+        untilRunning("req-1", 6)
+        world.until("req-3 is done", 60.seconds) { poll("req-3", world.names[0]); rules.finalOf("req-3") == "done" }
+        withdraw("req-4", world.names.random(random))
+        // Some of its tasks have not been told, or not gone, when the last controller ends.
+        delay(random.nextInt(0, 3000).milliseconds)
+        world.names.forEach(world::crash)
+        delay((18 + random.nextInt(0, 40)).seconds)
+        assertEquals(0, running("req-1"), "all leases are over")
+        world.names.shuffled(random).forEach {
+            world.startNode(it)
+            delay(random.nextInt(0, 8000).milliseconds)
+        }
+        rules.troublesOver()
+        world.until("the services run", 45.seconds) { running("req-1") == 6 }
+        world.until("the array is done", 90.seconds) { poll("req-2", world.names.random(random)); rules.finalOf("req-2") == "done" }
+        for (node in world.names) for (id in listOf("req-3", "req-4")) assertEquals(200, poll(id, node))
+        delay(cancel)
+        assertEquals(0, running("req-4") + running("req-3"))
+    }
+
+    /** Half of the zone's machines die, again while the leader changes: the work goes nowhere else, waits there, and is served by what is rented there. */
+    @Test
+    fun `jobs bound to one zone lose machines`() = meetings(1L..4L) { seed ->
+        val random = Random(seed)
+        val bound = mapOf("hall" to "b")
+        submit("req-1", "daemon", 4, 0.0, large + bound)
+        submit("req-2", "array", 12, 25.0, mapOf("cores" to 12.0) + bound)
+        submit("req-3", "gang", 2, 25.0, mapOf("cores" to 40.0, "samePlace" to true) + bound)
+        submit("req-4", "array", 12, 25.0)
+        untilRunning("req-1", 4)
+        repeat(2) {
+            delay(random.nextInt(2, 12).seconds)
+            val there = world.platform.workers().keys.filter { world.machine(it)?.zone == "b" }.sorted()
+            there.filterIndexed { n, _ -> n % 2 == 0 }.forEach(world.platform::kill)
+            val led = assertNotNull(world.leader())
+            if (random.nextBoolean()) {
+                world.crash(led)
+                delay(3.seconds)
+                world.startNode(led)
+            }
+        }
+        rules.troublesOver()
+        world.until("the service is whole", 90.seconds) { running("req-1") == 4 }
+        world.until("all done", 200.seconds) { (2..4).all { poll("req-$it", world.names.random(random)) == 200 && rules.finalOf("req-$it") == "done" } }
+        assertTrue(starts.filter { !it.first.startsWith("req-4/") }.all { world.machine(it.second)?.zone == "b" }, "nowhere else")
+    }
+}
