--- a/review/lib/Cloud.java
+++ b/review/lib/Cloud.java
@@ -6,7 +6,7 @@
 import java.util.List;
 import java.util.Map;
 
-/** A cloud as PROTOCOL describes it: one machine type, room for [perMarket] machines in each zone and kind. */
+/** A cloud as PROTOCOL describes it: one machine type, room for some machines in each zone and kind. */
 final class Cloud {
     static final class Machine {
         String id;
@@ -20,7 +20,8 @@
     private final Run run;
     private final Fleet fleet;
     private final List<String> zones;
-    private final int perMarket;
+    /** For how many machines of each kind, spot or ordinary, a zone has room. */
+    private final Map<String, Integer> room;
     private final double bootS;
     private final double lag;
     private final Map<String, Machine> machines = new LinkedHashMap<>();
@@ -31,10 +32,21 @@
 
     Cloud(Run run, int port, Fleet fleet, List<String> zones, int perMarket, double bootS, double lag)
             throws IOException {
+        this(run, port, fleet, zones, everywhere(zones, perMarket), bootS, lag);
+    }
+
+    private static Map<String, Integer> everywhere(List<String> zones, int perMarket) {
+        Map<String, Integer> room = new HashMap<>();
+        for (String zone : zones) room.put(zone, perMarket);
+        return room;
+    }
+
+    Cloud(Run run, int port, Fleet fleet, List<String> zones, Map<String, Integer> room, double bootS, double lag)
+            throws IOException {
         this.run = run;
         this.fleet = fleet;
         this.zones = zones;
-        this.perMarket = perMarket;
+        this.room = room;
         this.bootS = bootS;
         this.lag = lag;
         run.serve(port, this::answer);
@@ -98,7 +110,8 @@
         if (!fleet.type.equals(body.get("rig")) || !zones.contains(zone)) return new Run.Answer(400, "{}");
         int used = 0;
         for (Machine machine : machines.values()) if (machine.zone.equals(zone) && machine.spot == spot) used++;
-        int count = Math.min(((Number) body.get("count")).intValue(), perMarket - used);
+        int count = Math.min(((Number) body.get("count")).intValue(), room.get(zone) - used);
+        if (count <= 0) run.note("cloud", name + " in " + zone + ": no capacity");
         if (count <= 0) return new Run.Answer(503, "{\"error\":\"no capacity\"}");
         List<Object> ids = new ArrayList<>();
         for (int i = 0; i < count; i++) {
--- a/review/lib/Fleet.java
+++ b/review/lib/Fleet.java
@@ -21,8 +21,46 @@
 
     /** How many tasks of each job are on machines at present, in any state but ended. */
     final Map<String, Integer> present = new ConcurrentHashMap<>();
-    /** Whether machines fail every task that they start. */
-    volatile boolean failing;
+
+    final double gangWaitS = 45;
+    final double gangPeerS = 5;
+
+    /** One attempt of a gang. Its tasks locate each other here. */
+    static final class Gang {
+        private int waiting;
+        private double startedAt = Double.MAX_VALUE;
+        private double brokenAt = Double.MAX_VALUE;
+
+        synchronized void waits(int tasks, double now) {
+            if (++waiting == tasks) startedAt = now;
+        }
+
+        synchronized void waitsNoMore() {
+            waiting--;
+        }
+
+        synchronized boolean started() {
+            return startedAt < Double.MAX_VALUE;
+        }
+
+        synchronized double startedAt() {
+            return startedAt;
+        }
+
+        synchronized void lostMember(double now) {
+            brokenAt = Math.min(brokenAt, now);
+        }
+
+        synchronized double brokenAt() {
+            return brokenAt;
+        }
+    }
+
+    private final Map<String, Gang> gangs = new ConcurrentHashMap<>();
+
+    Gang gang(String job, long attempt) {
+        return gangs.computeIfAbsent(job + " " + attempt, key -> new Gang());
+    }
 
     Fleet(double reportS, double leaseS) {
         this.reportS = reportS;
--- a/review/lib/Worker.java
+++ b/review/lib/Worker.java
@@ -9,7 +9,7 @@
 import java.util.Random;
 import java.util.Set;
 
-/** A worker as PROTOCOL describes it, for arrays and services. */
+/** A worker as PROTOCOL describes it. */
 final class Worker {
     private static final class Task {
         String id;
@@ -67,6 +67,7 @@
             for (Task task : tasks.values()) {
                 if (task.standing.equals("ended")) continue;
                 fleet.present.merge(task.job, -1, Integer::sum);
+                leaveGang(task);
                 run.note("task", task.id + " gone with " + id + ": " + why);
             }
             tasks.clear();
@@ -103,6 +104,7 @@
                 if (task.standing.equals("ended")) continue;
                 lost++;
                 fleet.present.merge(task.job, -1, Integer::sum);
+                leaveGang(task);
                 fleet.losses.merge(task.job, 1, Integer::sum);
             }
             if (lost > 0) run.note("lease", id + ": lease over, " + lost + " tasks killed");
@@ -120,13 +122,26 @@
         }
         for (Task task : tasks.values()) {
             Map<String, Object> job = fleet.descriptions.get(task.job);
+            boolean gang = job.get("lotKind").equals("gang");
             if (task.standing.equals("fetching") && images.contains(job.get("catchImage"))) {
-                task.standing = "running";
-                task.nextAt = job.get("lotKind").equals("daemon") ? Double.MAX_VALUE : now + fleet.runS.get(task.job);
-                fleet.starts.merge(task.job, 1, Integer::sum);
-                if (fleet.starts.get(task.job) <= 20) run.note("task", task.id + " runs on " + id);
-                changed = true;
-                if (fleet.failing) end(task, "error");
+                if (gang) {
+                    task.standing = "waiting";
+                    task.nextAt = now + fleet.gangWaitS;
+                    changed = true;
+                    fleet.gang(task.job, task.attempt).waits(((Number) job.get("crates")).intValue(), now);
+                } else {
+                    begin(task, job.get("lotKind").equals("daemon") ? Double.MAX_VALUE : now + fleet.runS.get(task.job));
+                }
+            } else if (task.standing.equals("waiting")) {
+                Fleet.Gang attempt = fleet.gang(task.job, task.attempt);
+                if (attempt.started()) {
+                    begin(task, attempt.startedAt() + fleet.runS.get(task.job));
+                } else if (now >= task.nextAt) {
+                    end(task, "incomplete");
+                }
+            } else if (gang && task.standing.equals("running")
+                    && now >= fleet.gang(task.job, task.attempt).brokenAt() + fleet.gangPeerS) {
+                end(task, "peers");
             } else if (task.standing.equals("running") && now >= task.nextAt) {
                 end(task, "done");
                 fleet.completions.merge(task.job, 1, Integer::sum);
@@ -137,7 +152,25 @@
         }
     }
 
+    private void begin(Task task, double until) {
+        task.standing = "running";
+        task.nextAt = until;
+        fleet.starts.merge(task.job, 1, Integer::sum);
+        if (fleet.starts.get(task.job) <= 20) run.note("task", task.id + " runs on " + id);
+        changed = true;
+    }
+
+    /** Tells the other tasks of a gang that this one leaves without being done. */
+    private void leaveGang(Task task) {
+        Map<String, Object> job = fleet.descriptions.get(task.job);
+        if (job == null || !job.get("lotKind").equals("gang")) return;
+        Fleet.Gang gang = fleet.gang(task.job, task.attempt);
+        if (task.standing.equals("waiting") && !gang.started()) gang.waitsNoMore();
+        if (task.standing.equals("running") || task.standing.equals("saving")) gang.lostMember(run.now());
+    }
+
     private void end(Task task, String cause) {
+        if (!cause.equals("done")) leaveGang(task);
         fleet.present.merge(task.job, -1, Integer::sum);
         task.standing = "ended";
         task.cause = cause;
