--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,4 +3,4 @@
 # Writes record.txt beside this script: what was sent, answered and run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -f target/elderhitch.jar ] && [ -d review/.build ] || { echo "build the project and review/build.sh first"; exit 2; }
-java -Xmx512m -cp review/.build Case1 review/1
+exec java -Xmx512m -cp review/.build Case1 review/1
