Log plans and cycles that keep the controller's thread busy

Cause: when a controller stops answering for more than a minute, nothing in its log or counters tells whether a plan for the machines or a scheduling cycle takes the time, how much it considers, or which job asks for it.

Change: a plan counts how often it considers a machine for a task or for headroom (`steps`). A plan or a cycle that takes more than 500 ms logs one line with its duration, that count and the jobs that asked for the most tasks; the debug line of a plan has duration and count too.

Result: no decision changes.

--- a/src/main/kotlin/org/elderhitch/fleet/FleetPlan.kt
+++ b/src/main/kotlin/org/elderhitch/fleet/FleetPlan.kt
@@ -9,6 +9,6 @@
         val scaleOut = ScaleOutPlan(input, policy)
         val provision = scaleOut.decide()
         val scaleIn = ScaleInPlan(input, policy, scaleOut.reserved, scaleOut.usedMachines())
-        return PlanOutput(provision, scaleIn.terminations(), scaleIn.drain())
+        return PlanOutput(provision, scaleIn.terminations(), scaleIn.drain(), scaleOut.steps)
     }
 }
--- a/src/main/kotlin/org/elderhitch/fleet/FleetPlanner.kt
+++ b/src/main/kotlin/org/elderhitch/fleet/FleetPlanner.kt
@@ -7,6 +7,7 @@
 import org.elderhitch.settings.Zone
 import org.elderhitch.time.MonotonicInstant
 import org.slf4j.LoggerFactory
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -73,7 +74,7 @@
             scarceTypeSets = demand.scarceTypeSets,
         )
         val output = FleetPlan(input, policy).decide()
-        logPlan(existing, input, output)
+        logPlan(existing, input, output, took = fleet.clock.now() - now)
         // Before the workers of earlier terms have reported, idle capacity can't be distinguished from failed machines.
         val isTakeoverPending = !demand.isTakeoverSettled && now - fleet.term.startedAt < MAX_TAKEOVER_WAIT
         if (!isTakeoverPending) carryOut(leadership, output, openIntents = open.size)
@@ -110,10 +111,11 @@
         catalog.types.keys.flatMap { listOf(Market(it, zone, true), Market(it, zone, false)) }
     }
 
-    private fun logPlan(existing: List<PlannedMachine>, input: PlanInput, output: PlanOutput) {
+    private fun logPlan(existing: List<PlannedMachine>, input: PlanInput, output: PlanOutput, took: Duration) {
+        if (took > SLOW_PLAN) logSlowPlan(existing.size, input, output, took)
         if (!log.isDebugEnabled) return
         log.debug(
-            "plan machines={} booting={} empty={} unplaced={} headroom={} provision={} terminate={}",
+            "plan machines={} booting={} empty={} unplaced={} headroom={} provision={} terminate={} steps={} took_ms={}",
             existing.size,
             existing.count { it.use == null },
             existing.count { it.use?.idleFor != null },
@@ -121,6 +123,22 @@
             input.headroom.map { it.tasks },
             output.provision,
             output.terminate.size,
+            output.steps,
+            took.inWholeMilliseconds,
+        )
+    }
+
+    /** Logs a plan that kept the controller's thread busy for long, with the jobs that asked for the most tasks. */
+    private fun logSlowPlan(machineCount: Int, input: PlanInput, output: PlanOutput, took: Duration) {
+        val unplaced = input.unplaced.sortedByDescending { it.count }.take(LOGGED_JOBS)
+        val headroom = input.headroom.sortedByDescending { it.tasks }.take(LOGGED_JOBS)
+        log.info(
+            "plan slow took_ms={} steps={} machines={} largest_unplaced={} largest_headroom={}",
+            took.inWholeMilliseconds,
+            output.steps,
+            machineCount,
+            unplaced.map { "${it.spec.id}:${it.spec.jobClass}x${it.count}" },
+            headroom.map { "${it.spec.id}:${it.spec.jobClass}x${it.tasks}" },
         )
     }
 
@@ -140,5 +158,11 @@
 
         /** After this time in a term, plans are executed even if the takeover has not completed. */
         val MAX_TAKEOVER_WAIT = 8.seconds
+
+        /** A plan that takes longer is logged: nothing else on this controller runs meanwhile. */
+        val SLOW_PLAN = 500.milliseconds
+
+        /** The number of jobs of each kind that the line about a slow plan names. */
+        const val LOGGED_JOBS = 3
     }
 }
--- a/src/main/kotlin/org/elderhitch/fleet/PlanInput.kt
+++ b/src/main/kotlin/org/elderhitch/fleet/PlanInput.kt
@@ -46,4 +46,9 @@
     public val terminate: List<MachineId>,
     /** A machine with few services that can be moved to other machines, so that it can be terminated afterwards. */
     public val drain: MachineId?,
+    /**
+     * How often a machine was considered for a task or for headroom: a measure of the plan's cost that does not depend
+     * on the speed of the processor.
+     */
+    public val steps: Long = 0,
 )
--- a/src/main/kotlin/org/elderhitch/fleet/ScaleOutPlan.kt
+++ b/src/main/kotlin/org/elderhitch/fleet/ScaleOutPlan.kt
@@ -37,6 +37,10 @@
     private val machinesInZone = HashMap<Zone, Int>()
     private val reservedMachines = HashSet<MachineId>()
 
+    /** How often a machine was considered for a task or for headroom; see [PlanOutput.steps]. */
+    var steps = 0L
+        private set
+
     /** Running machines whose free capacity is needed, so that they are not terminated as idle. */
     val reserved: Set<MachineId> get() = reservedMachines
 
@@ -86,8 +90,10 @@
     private fun isAllowed(spec: JobSpec, market: Market, zones: Map<Zone, Int>): Boolean =
         spec.permitsMachine(market.type, market.zone, market.spot) && spec.zoneAllows(zones, market.zone)
 
-    private fun canTake(bin: Bin, spec: JobSpec, zones: Map<Zone, Int>): Boolean =
-        spec.resources.fitsIn(bin.free) && isAllowed(spec, bin.market, zones)
+    private fun canTake(bin: Bin, spec: JobSpec, zones: Map<Zone, Int>): Boolean {
+        steps++
+        return spec.resources.fitsIn(bin.free) && isAllowed(spec, bin.market, zones)
+    }
 
     /**
      * Packs [count] tasks of one shape, one after the other. Free capacity only shrinks and the task counts of zones
@@ -197,6 +203,7 @@
         var missing = headroom.tasks
         for (candidate in fitting) {
             while (missing > 0 && spec.resources.fitsIn(available(candidate))) {
+                steps++
                 candidate.free -= spec.resources
                 reservedMachines.add(candidate.machine.id)
                 missing--
--- a/src/main/kotlin/org/elderhitch/scheduler/CycleRunner.kt
+++ b/src/main/kotlin/org/elderhitch/scheduler/CycleRunner.kt
@@ -169,7 +169,9 @@
     private fun endCycle(input: CycleInput, output: CycleOutput, startedAt: MonotonicInstant) {
         onCycle(output.machineVisits + input.machines.size)
         val endedAt = clock.now()
-        pauseEndsAt = endedAt + minOf(maxOf(MIN_PAUSE, (endedAt - startedAt) * pauseFactor), MAX_PAUSE)
+        val took = endedAt - startedAt
+        pauseEndsAt = endedAt + minOf(maxOf(MIN_PAUSE, took * pauseFactor), MAX_PAUSE)
+        if (took > SLOW_CYCLE) logSlowCycle(input, output, took)
         if (!log.isDebugEnabled) return
         val freeCpus = input.machines.groupBy { it.type }.map { (type, machines) ->
             "$type:${machines.size}:${machines.sumOf { it.load.free.cpus }.toInt()}"
@@ -182,11 +184,25 @@
             output.unplaced.sumOf { it.count },
             output.machineVisits,
             output.reservedMachineCount,
-            (endedAt - startedAt).inWholeMilliseconds,
+            took.inWholeMilliseconds,
             freeCpus,
         )
     }
 
+    /** Logs a cycle that kept the controller's thread busy for long, with the jobs that have the most pending tasks. */
+    private fun logSlowCycle(input: CycleInput, output: CycleOutput, took: Duration) {
+        val largest = input.jobs.sortedByDescending { it.pending.size }.take(LOGGED_JOBS)
+        log.info(
+            "cycle slow took_ms={} machines={} jobs={} visits={} largest_pending={} reservations={}",
+            took.inWholeMilliseconds,
+            input.machines.size,
+            input.jobs.size,
+            output.machineVisits,
+            largest.map { "${it.spec.id}:${it.spec.jobClass}x${it.pending.size}" },
+            input.reservations.sortedByDescending { it.tasks }.take(LOGGED_JOBS).map { "${it.spec.id}x${it.tasks}" },
+        )
+    }
+
     private fun checkpointGrace(spec: JobSpec): Duration = spec.checkpointDuration + SAVE_MARGIN
 
     private companion object {
@@ -194,6 +210,12 @@
         val MIN_PAUSE = 25.milliseconds
         val MAX_PAUSE = 300.milliseconds
 
+        /** A cycle that takes longer is logged: nothing else on this controller runs meanwhile. */
+        val SLOW_CYCLE = 500.milliseconds
+
+        /** The number of jobs and of reservations that the line about a slow cycle names. */
+        const val LOGGED_JOBS = 3
+
         /**
          * The reciprocal of the share of the leader's processor time that scheduling cycles may use. A share of elapsed
          * time instead would be nine tenths of the processor time of a leader with 22% of a core: with 1,182 machines,
