Jobs with amounts of 0 no longer keep all controllers from answering

Cause: a task without amounts fits any number of times. Headroom for the tasks that one machine's failure displaces was therefore 2,147,483,647 tasks, and the plan for new machines packs or reserves headroom one task at a time, in the one thread, every 0.5 s. The loop was in `pack`, as no machine was up; with machines it is in `reserve`. An amount of 1e-9 does the same. Cycles counted the same way for reservations, gangs and capacity for confined work.

Change: how many tasks fit is calculated (`Resources.copiesIn`) in plans, headroom, reservations, gangs and confined work, so the cost grows with machines and open jobs. A task's request takes one of 400 slots of a machine (`TaskLimits`), which placement, preemption and plans observe like any other resource: otherwise a job without amounts would put any number of tasks on one machine, whose heartbeats list all of them. A plan has at most 2,000 new machines, more than can be requested before the next; the limit of 2,000 tasks a job, above which a gang never got all its machines, is gone. All that was accepted is still accepted.

--- a/src/main/kotlin/org/elderhitch/explain/JobExplainer.kt
+++ b/src/main/kotlin/org/elderhitch/explain/JobExplainer.kt
@@ -7,6 +7,7 @@
 import org.elderhitch.jobs.JobKind
 import org.elderhitch.jobs.JobSpec
 import org.elderhitch.jobs.Resources
+import org.elderhitch.jobs.TaskLimits
 import org.elderhitch.recovery.Takeover
 import org.elderhitch.settings.Team
 import org.elderhitch.settings.TeamName
@@ -112,6 +113,10 @@
         confinementReason(job.spec, context)?.let(lines::add)
         val allowed = table.workers.values.filter { it.type in fittingTypes && mayUse(job.spec, it) }
         lines.add(freeCapacityReason(job, allowed, context))
+        val fullCount = allowed.count { worker -> freeOn(worker, context.catalog)?.let { it.taskSlots <= 0 } ?: false }
+        if (fullCount > 0) {
+            lines.add("$fullCount machines have as many tasks as a machine may (${TaskLimits.MAX_TASKS_PER_MACHINE})")
+        }
         val avoidedCount = allowed.count { job.spec.id in it.avoidedBy }
         if (avoidedCount > 0) lines.add("$avoidedCount machines are avoided for now: it failed or was refused there")
     }
--- a/src/main/kotlin/org/elderhitch/fleet/ArrivalRates.kt
+++ b/src/main/kotlin/org/elderhitch/fleet/ArrivalRates.kt
@@ -31,7 +31,7 @@
     fun machinesFilledDuringBoot(catalog: Catalog, now: MonotonicInstant): Double = rateByClass.values.sumOf { rate ->
         val type = catalog.fitting(rate.latestSpec).minByOrNull { it.price } ?: return@sumOf 0.0
         tasksPerSecond(rate.latestSpec.jobClass, now) * type.bootTime.toDouble(DurationUnit.SECONDS) /
-            CapacityEstimates.tasksPerMachine(rate.latestSpec, type).coerceAtLeast(1.0)
+            CapacityEstimates.tasksPerMachine(rate.latestSpec, type).coerceAtLeast(1)
     }
 
     private companion object {
--- a/src/main/kotlin/org/elderhitch/fleet/CapacityEstimates.kt
+++ b/src/main/kotlin/org/elderhitch/fleet/CapacityEstimates.kt
@@ -1,7 +1,7 @@
 package org.elderhitch.fleet
 
 import org.elderhitch.jobs.JobSpec
-import kotlin.math.floor
+import org.elderhitch.jobs.TaskLimits
 
 /** Estimates how many tasks of one resource shape arrive, fit on a machine, or are displaced by machine failures. */
 internal object CapacityEstimates {
@@ -15,13 +15,7 @@
     fun displacedTasks(spec: JobSpec, type: TypeInfo, policy: FleetPolicy): Double =
         policy.spareMachines * tasksPerMachine(spec, type)
 
-    /** How many tasks fit on an empty machine of [type]. */
-    fun tasksPerMachine(spec: JobSpec, type: TypeInfo): Double = minOf(
-        wholeTasks(type.resources.cpus, spec.resources.cpus),
-        wholeTasks(type.resources.gpus, spec.resources.gpus),
-        wholeTasks(type.resources.memoryGb, spec.resources.memoryGb),
-    )
-
-    private fun wholeTasks(has: Double, perTask: Double): Double =
-        if (perTask <= 0) Double.MAX_VALUE else floor(has / perTask)
+    /** How many tasks fit on an empty machine of [type], at most [TaskLimits.MAX_TASKS_PER_MACHINE]. */
+    fun tasksPerMachine(spec: JobSpec, type: TypeInfo): Int =
+        spec.resources.copiesIn(type.resources, TaskLimits.MAX_TASKS_PER_MACHINE)
 }
--- a/src/main/kotlin/org/elderhitch/fleet/CloudCodec.kt
+++ b/src/main/kotlin/org/elderhitch/fleet/CloudCodec.kt
@@ -67,7 +67,7 @@
 
     public fun decode(from: JsonObject): TypeInfo = TypeInfo(
         name = MachineType(from.string("name")),
-        resources = Resources(from.amount("cores"), from.amount("accelerators"), from.amount("memGb")),
+        resources = Resources.ofMachine(from.amount("cores"), from.amount("accelerators"), from.amount("memGb")),
         cacheGb = from.amountOrNull("localGb") ?: 0.0,
         fetchGbPerS = from.amountOrNull("pullGbPerS") ?: 1.0,
         price = from.amountOrNull("rate") ?: 0.0,
--- a/src/main/kotlin/org/elderhitch/fleet/ScaleOutPlan.kt
+++ b/src/main/kotlin/org/elderhitch/fleet/ScaleOutPlan.kt
@@ -32,6 +32,7 @@
 
     private val bins = ArrayList<Bin>()
     private val provisioned = LinkedHashMap<Market, Int>()
+    private var newMachineCount = 0
 
     /** Number of machines by zone, so that new ones are provisioned in the zone with the fewest. */
     private val machinesInZone = HashMap<Zone, Int>()
@@ -54,7 +55,7 @@
         val order = compareByDescending<UnplacedTasks> { it.spec.priority }
             .thenBy { input.catalog.fitting(it.spec).size }
         for (unplaced in input.unplaced.sortedWith(order)) {
-            pack(unplaced.spec, unplaced.count.coerceAtMost(MAX_TASKS_PER_SHAPE), HashMap(unplaced.tasksPerZone))
+            pack(unplaced.spec, unplaced.count, HashMap(unplaced.tasksPerZone))
         }
         packHeadroom()
         return provisioned.map { (market, count) -> ProvisioningRequest(market, count) }
@@ -90,31 +91,36 @@
     private fun isAllowed(spec: JobSpec, market: Market, zones: Map<Zone, Int>): Boolean =
         spec.permitsMachine(market.type, market.zone, market.spot) && spec.zoneAllows(zones, market.zone)
 
-    private fun canTake(bin: Bin, spec: JobSpec, zones: Map<Zone, Int>): Boolean {
-        steps++
-        return spec.resources.fitsIn(bin.free) && isAllowed(spec, bin.market, zones)
-    }
-
     /**
-     * Packs [count] tasks of one shape, one after the other. Free capacity only shrinks and the task counts of zones
-     * only grow, so a bin that can't take one task can't take the following ones either, and the search resumes from
-     * the current position.
+     * Packs [count] tasks of one shape: each bin takes as many as it can, then new machines are added. The cost grows
+     * with the number of bins and not with [count], which users determine.
      */
     private fun pack(spec: JobSpec, count: Int, zones: MutableMap<Zone, Int>) {
-        val candidates = candidates(spec, zones)
-        var position = 0
-        var newest: Bin? = null
-        repeat(count) {
-            while (position < candidates.size && !canTake(candidates[position], spec, zones)) position++
-            val bin = candidates.getOrNull(position)
-                ?: newest?.takeIf { canTake(it, spec, zones) }
-                ?: provision(spec, zones)?.also { newest = it }
-                ?: return
-            bin.free -= spec.resources
-            bin.used = true
-            if (bin.isRunning) bin.machine?.let { reservedMachines.add(it.id) }
-            zones.merge(bin.market.zone, 1, Int::plus)
+        if (count <= 0) return
+        var remaining = count
+        for (bin in candidates(spec, zones)) {
+            remaining -= fill(bin, spec, remaining, zones)
+            if (remaining == 0) return
         }
+        while (remaining > 0) {
+            val bin = provision(spec, zones) ?: return
+            val packed = fill(bin, spec, remaining, zones)
+            if (packed == 0) return
+            remaining -= packed
+        }
+    }
+
+    /** Packs as many tasks of one shape onto the bin as fit, at most [limit], and returns how many. */
+    private fun fill(bin: Bin, spec: JobSpec, limit: Int, zones: MutableMap<Zone, Int>): Int {
+        steps++
+        val zone = bin.market.zone
+        val packed = spec.resources.copiesIn(bin.free, minOf(limit, spec.tasksAllowedIn(zones, zone)))
+        if (packed == 0) return 0
+        bin.free -= spec.resources * packed
+        bin.used = true
+        if (bin.isRunning) bin.machine?.let { reservedMachines.add(it.id) }
+        zones.merge(zone, packed, Int::plus)
+        return packed
     }
 
     /**
@@ -144,8 +150,12 @@
         }
     }
 
-    /** Adds a new machine in the cheapest open market for that shape; null if there is none. */
+    /**
+     * Adds a new machine in the cheapest open market for that shape; null if there is none, or if the plan has
+     * [MAX_NEW_MACHINES] already.
+     */
     private fun provision(spec: JobSpec, zones: Map<Zone, Int>): Bin? {
+        if (newMachineCount == MAX_NEW_MACHINES) return null
         val typesToAvoid = scarceTypesToAvoid(spec)
         val markets = input.catalog.markets(spec).filter {
             (policy.useSpot || !it.spot) && it !in input.closedMarkets && isAllowed(spec, it, zones)
@@ -159,6 +169,7 @@
         val market = markets.minWithOrNull(order) ?: return null
         val type = input.catalog.types[market.type] ?: return null
         provisioned.merge(market, 1, Int::plus)
+        newMachineCount++
         return Bin(null, market, type.resources).also(::addBin)
     }
 
@@ -170,6 +181,8 @@
             spec.resources.cpus / maxOf(has.cpus, MIN_RESOURCE),
             spec.resources.gpus / maxOf(has.gpus, MIN_RESOURCE),
             spec.resources.memoryGb / maxOf(has.memoryGb, MIN_RESOURCE),
+            // The share of a task whose amounts are all 0, for which the cheapest machine is the best.
+            spec.resources.taskSlots.toDouble() / maxOf(has.taskSlots, 1),
         )
         return share * if (market.spot) type.spotPrice else type.price
     }
@@ -202,13 +215,12 @@
             .sortedWith(compareBy({ it.free.gpus + it.preemptible.gpus }, { it.machine.id.text }))
         var missing = headroom.tasks
         for (candidate in fitting) {
-            while (missing > 0 && spec.resources.fitsIn(available(candidate))) {
-                steps++
-                candidate.free -= spec.resources
-                reservedMachines.add(candidate.machine.id)
-                missing--
-            }
             if (missing == 0) break
+            steps++
+            val tasks = spec.resources.copiesIn(available(candidate), missing)
+            candidate.free -= spec.resources * tasks
+            reservedMachines.add(candidate.machine.id)
+            missing -= tasks
         }
         return missing
     }
@@ -217,8 +229,8 @@
         /** Avoids a division by zero for a resource that a machine type lacks. */
         const val MIN_RESOURCE = 1e-9
 
-        /** Limits the tasks that are packed for each entry of unplaced tasks, to bound the cost of a plan. */
-        const val MAX_TASKS_PER_SHAPE = 2000
+        /** More machines than the cloud's request rate allows to be requested before the next plan. */
+        const val MAX_NEW_MACHINES = 2000
 
         /** Price factor for types to avoid: using one costs the confined work that waits for it as much again. */
         const val SCARCE_PRICE_FACTOR = 2.0
--- a/src/main/kotlin/org/elderhitch/jobs/JobCodec.kt
+++ b/src/main/kotlin/org/elderhitch/jobs/JobCodec.kt
@@ -44,7 +44,7 @@
     public fun decode(body: JsonObject): JobSpec {
         val kind = kindNames.decode("lotKind", body.string("lotKind"))
         val tasks = decodeTaskCount(body)
-        val resources = Resources(body.amount("cores"), body.amount("accelerators"), body.amount("memGb"))
+        val resources = Resources.ofTask(body.amount("cores"), body.amount("accelerators"), body.amount("memGb"))
         val types = decodeTypes(body)
         return JobSpec(
             id = id(body),
--- a/src/main/kotlin/org/elderhitch/jobs/JobSpec.kt
+++ b/src/main/kotlin/org/elderhitch/jobs/JobSpec.kt
@@ -76,6 +76,12 @@
         (types == null || type in types) && (this.zone == null || zone == this.zone) && (!spot || spotAllowed)
 
     /** Whether one more task may run in [zone], where [zones] contains the number of running tasks by zone. */
-    public fun zoneAllows(zones: Map<Zone, Int>, zone: Zone): Boolean =
-        if (oneZone) zones.isEmpty() || zone in zones else (zones[zone] ?: 0) < maxTasksPerZone
+    public fun zoneAllows(zones: Map<Zone, Int>, zone: Zone): Boolean = tasksAllowedIn(zones, zone) > 0
+
+    /** How many more tasks may run in [zone], where [zones] contains the number of running tasks by zone. */
+    public fun tasksAllowedIn(zones: Map<Zone, Int>, zone: Zone): Int = when {
+        !oneZone -> (maxTasksPerZone - (zones[zone] ?: 0)).coerceAtLeast(0)
+        zones.isEmpty() || zone in zones -> tasks
+        else -> 0
+    }
 }
--- a/src/main/kotlin/org/elderhitch/placement/ConfinedGroup.kt
+++ b/src/main/kotlin/org/elderhitch/placement/ConfinedGroup.kt
@@ -4,10 +4,14 @@
 import org.elderhitch.jobs.MachineType
 import org.elderhitch.jobs.Priority
 import org.elderhitch.jobs.Resources
+import kotlin.math.ceil
 
 /** The jobs that are confined to the same machine [types], and their demand that no machine is allocated to yet. */
 internal class ConfinedGroup(val types: Set<MachineType>) {
-    private class Demand(val request: Resources, var tasks: Double)
+    private class Demand(val request: Resources, var tasks: Double) {
+        /** The tasks, of which expected ones can be a fraction, rounded up. */
+        val wholeTasks: Int get() = ceil(tasks).toInt()
+    }
 
     /** The waiting and expected tasks by job. */
     private val demands = ArrayList<Demand>()
@@ -43,15 +47,19 @@
         var remaining = capacity
         var allocated = Resources.NONE
         for (demand in demands.sortedByDescending { it.request.weight }) {
-            while (demand.tasks > 0 &&
-                demand.request.fitsIn(remaining) &&
-                allocated.weight + demand.request.weight <= maxWeight
-            ) {
-                demand.tasks--
-                remaining -= demand.request
-                allocated += demand.request
-            }
+            val wanted = minOf(demand.wholeTasks, tasksWithin(maxWeight - allocated.weight, demand.request.weight))
+            val tasks = demand.request.copiesIn(remaining, wanted)
+            demand.tasks -= tasks
+            remaining -= demand.request * tasks
+            allocated += demand.request * tasks
         }
         return allocated
     }
+
+    /** How many tasks of the weight [taskWeight] have at most the total weight [maxWeight]. */
+    private fun tasksWithin(maxWeight: Double, taskWeight: Double): Int = when {
+        maxWeight < taskWeight -> 0
+        taskWeight <= 0 -> Int.MAX_VALUE
+        else -> (maxWeight / taskWeight).toInt()
+    }
 }
--- a/src/main/kotlin/org/elderhitch/placement/CycleInput.kt
+++ b/src/main/kotlin/org/elderhitch/placement/CycleInput.kt
@@ -47,6 +47,7 @@
         jobs.minOfOrNull { it.spec.resources.cpus } ?: Double.MAX_VALUE,
         jobs.minOfOrNull { it.spec.resources.gpus } ?: Double.MAX_VALUE,
         jobs.minOfOrNull { it.spec.resources.memoryGb } ?: Double.MAX_VALUE,
+        jobs.minOfOrNull { it.spec.resources.taskSlots } ?: Int.MAX_VALUE,
     )
 
     /**
@@ -77,7 +78,7 @@
 public class JobView(
     public val spec: JobSpec,
     public val revision: Revision,
-    public val pending: List<Int>,
+    public val pending: Collection<Int>,
     public val tasksPerZone: Map<Zone, Int>,
     public val joinAttempt: Attempt?,
     public val dueAt: MonotonicInstant = MonotonicInstant.FOREVER,
--- a/src/main/kotlin/org/elderhitch/placement/GangPlacer.kt
+++ b/src/main/kotlin/org/elderhitch/placement/GangPlacer.kt
@@ -12,6 +12,9 @@
     /** A machine on which a task of the gang fits once [victims] are stopped. */
     private class PreemptionOption(val machine: RemainingCapacity, val victims: List<PreemptionCandidate>)
 
+    /** The number of the gang's tasks that are placed on one machine. */
+    private class Share(val machine: RemainingCapacity, val tasks: Int)
+
     fun place(job: JobView) {
         val total = job.spec.resources * job.pending.size
         if (!decisions.quotaAllows(job.spec, total)) {
@@ -20,13 +23,8 @@
         }
         val candidates = index.candidates(job.spec)
         val groups = candidateGroups(job, candidates)
-        val machines = groups.firstNotNullOfOrNull { selectMachines(job, it) }
-        if (machines == null) {
-            waitForMachines(job, candidates, groups)
-        } else {
-            val zoneCounts = HashMap(job.tasksPerZone)
-            for ((taskIndex, machine) in job.pending.zip(machines)) decisions.place(job, taskIndex, machine, zoneCounts)
-        }
+        val shares = groups.firstNotNullOfOrNull { selectMachines(job, it) }
+        if (shares == null) waitForMachines(job, candidates, groups) else placeAll(job, shares)
     }
 
     /** The groups of machines that the whole gang may be placed on, in the order in which they are tried. */
@@ -42,26 +40,31 @@
         }
     }
 
-    /** A machine for each pending task; null if not all of them fit. */
-    private fun selectMachines(job: JobView, candidates: List<RemainingCapacity>): List<RemainingCapacity>? {
+    /** Machines for all pending tasks, each with as many tasks as fit there; null if not all of them fit. */
+    private fun selectMachines(job: JobView, candidates: List<RemainingCapacity>): List<Share>? {
         val spec = job.spec
         val tasksPerZone = HashMap(job.tasksPerZone)
-        val chosen = ArrayList<RemainingCapacity>()
-        var position = 0
-        var free = candidates.firstOrNull()?.free ?: return null
-        while (chosen.size < job.pending.size) {
-            val machine = candidates[position]
+        val chosen = ArrayList<Share>()
+        var missing = job.pending.size
+        for (machine in candidates) {
             index.countVisit()
-            if (spec.resources.fitsIn(free) && (tasksPerZone[machine.view.zone] ?: 0) < spec.maxTasksPerZone) {
-                free -= spec.resources
-                tasksPerZone.merge(machine.view.zone, 1, Int::plus)
-                chosen.add(machine)
-            } else {
-                if (++position == candidates.size) return null
-                free = candidates[position].free
-            }
+            val allowedInZone = spec.maxTasksPerZone - (tasksPerZone[machine.view.zone] ?: 0)
+            val tasks = spec.resources.copiesIn(machine.free, minOf(missing, allowedInZone))
+            if (tasks == 0) continue
+            tasksPerZone.merge(machine.view.zone, tasks, Int::plus)
+            chosen.add(Share(machine, tasks))
+            missing -= tasks
+            if (missing == 0) return chosen
+        }
+        return null
+    }
+
+    private fun placeAll(job: JobView, shares: List<Share>) {
+        val zoneCounts = HashMap(job.tasksPerZone)
+        val pending = job.pending.iterator()
+        for (share in shares) {
+            repeat(share.tasks) { decisions.place(job, pending.next(), share.machine, zoneCounts) }
         }
-        return chosen
     }
 
     private fun waitForMachines(
--- a/src/main/kotlin/org/elderhitch/placement/Preemption.kt
+++ b/src/main/kotlin/org/elderhitch/placement/Preemption.kt
@@ -45,11 +45,7 @@
      * no lower-ranked task is placed there in the meantime.
      */
     fun claim(machine: RemainingCapacity, spec: JobSpec) {
-        val fromFree = Resources(
-            minOf(machine.free.cpus, spec.resources.cpus),
-            minOf(machine.free.gpus, spec.resources.gpus),
-            minOf(machine.free.memoryGb, spec.resources.memoryGb),
-        )
+        val fromFree = spec.resources.coerceAtMost(machine.free)
         machine.free -= fromFree
         machine.releasing -= spec.resources - fromFree
     }
@@ -125,8 +121,7 @@
      * task that is larger than the request loses more work by the same factor.
      */
     fun cost(victims: List<PreemptionCandidate>, request: Resources): Double = victims.sumOf {
-        (RESTART_COST_S + lossSeconds(it)) *
-            maxOf(1.0, it.request.weight / request.weight)
+        (RESTART_COST_S + lossSeconds(it)) * maxOf(1.0, it.request.weight / maxOf(request.weight, MIN_WEIGHT))
     }
 
     /**
@@ -142,6 +137,9 @@
     private companion object {
         const val RESTART_COST_S = 10.0
 
+        /** Avoids a division by zero for a request without CPUs and GPUs. */
+        const val MIN_WEIGHT = 1e-9
+
         /** The cost of stopping a task of a job that is not late, in addition to the unsaved work. */
         const val ON_TIME_JOB_COST_S = 30.0
 
--- a/src/main/kotlin/org/elderhitch/placement/ScarceCapacity.kt
+++ b/src/main/kotlin/org/elderhitch/placement/ScarceCapacity.kt
@@ -94,9 +94,11 @@
     private fun collectGroups() {
         for (job in input.jobs) confinedGroup(job.spec)?.addDemand(job.spec, job.pending.size.toDouble())
         for (machine in input.machines) for (occupant in machine.load.occupants) confinedGroup(occupant.spec)
+        val horizons = HashMap<ConfinedGroup, Double>()
         for (expected in input.expectedArrivals) {
             val group = confinedGroup(expected.spec) ?: continue
-            group.addDemand(expected.spec, expected.tasksPerS * horizonSeconds(group))
+            val horizonSeconds = horizons.getOrPut(group) { horizonSeconds(group) }
+            group.addDemand(expected.spec, expected.tasksPerS * horizonSeconds)
         }
     }
 
--- a/src/main/kotlin/org/elderhitch/placement/SchedulingCycle.kt
+++ b/src/main/kotlin/org/elderhitch/placement/SchedulingCycle.kt
@@ -46,12 +46,13 @@
     /** Deducts the reserved capacity from machines, so that jobs that are placed later cannot use it. */
     private fun reserve(reservation: CapacityReservation) {
         val request = reservation.spec.resources
-        val candidates = index.candidates(reservation.spec)
-        var position = 0
-        repeat(reservation.tasks) {
-            while (position < candidates.size && !request.fitsIn(candidates[position].free)) position++
-            if (position == candidates.size) return
-            candidates[position].free -= request
+        var missing = reservation.tasks
+        for (candidate in index.candidates(reservation.spec)) {
+            if (missing == 0) return
+            index.countVisit()
+            val tasks = request.copiesIn(candidate.free, missing)
+            candidate.free -= request * tasks
+            missing -= tasks
         }
     }
 }
--- a/src/main/kotlin/org/elderhitch/scheduler/CycleInputBuilder.kt
+++ b/src/main/kotlin/org/elderhitch/scheduler/CycleInputBuilder.kt
@@ -125,12 +125,15 @@
             val missingTasks = spec.tasks - job.completed.count - job.placements.size
             if (missingTasks <= 0) continue
             sums.merge(spec.jobClass to spec.priority, CapacityReservation(spec, missingTasks)) { earlier, latest ->
-                CapacityReservation(latest.spec, earlier.tasks + latest.tasks)
+                CapacityReservation(latest.spec, sumOfTasks(earlier, latest))
             }
         }
         return sums.values.toList()
     }
 
+    private fun sumOfTasks(a: CapacityReservation, b: CapacityReservation): Int =
+        (a.tasks.toLong() + b.tasks).coerceAtMost(Int.MAX_VALUE.toLong()).toInt()
+
     private fun isEligibleForReservation(job: JobState): Boolean =
         !job.isTerminal && !job.isGang && job.spec.priority != Priority.LOW
 
--- a/src/main/kotlin/org/elderhitch/scheduler/MachineViewBuilder.kt
+++ b/src/main/kotlin/org/elderhitch/scheduler/MachineViewBuilder.kt
@@ -43,7 +43,7 @@
         private val type: TypeInfo,
         private val now: MonotonicInstant,
     ) {
-        private var free = type.resources
+        private var free = type.resources - slotsOfExitedTasks()
         private var releasing = Resources.NONE
         private val preemptible = ArrayList<PreemptionCandidate>()
         private val occupants = ArrayList<Occupant>()
@@ -63,6 +63,10 @@
             }
         }
 
+        /** A worker lists tasks that have exited until they are recorded and reaped, so they take slots until then. */
+        private fun slotsOfExitedTasks(): Resources =
+            Resources(0.0, 0.0, 0.0, taskSlots = worker.tasks.count { it.phase == TaskPhase.EXITED })
+
         /** An image in use is never evicted from the cache; a fetch is aborted when the task that needs it is gone. */
         private fun addImage(spec: JobSpec, placement: Placement) {
             val isPresent = placement.state == PlacementState.CONFIRMED && placement.phase != TaskPhase.FETCHING
