Estimates, deadlines and image sizes without a bound no longer upset a cycle

An image of 1e15 GB in a gang, on machines that fetch less than 0.2 GB/s, lets each scheduling cycle that places the gang fail with an exception, so that nothing is started. A deadline or estimate of more than 292 years counts as missed long ago, so its job comes before all others of its priority.

Cause: differences of infinite durations throw, and adding a duration beyond the range of the clock to an instant overflows.

Without a maximum of the work the schedule, in which the overflow hid infinite sums, would throw as well.

--- a/src/main/kotlin/org/elderhitch/scheduler/GangStartDelays.kt
+++ b/src/main/kotlin/org/elderhitch/scheduler/GangStartDelays.kt
@@ -7,6 +7,7 @@
 import org.elderhitch.tasks.TaskTable
 import org.elderhitch.tasks.isGang
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.days
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -50,7 +51,7 @@
         val spec = table.jobs[decision.task.job]?.spec ?: return Duration.ZERO
         val type = catalog.types[worker.type] ?: return Duration.ZERO
         if (type.fetchGbPerS <= 0 || spec.image in worker.cachedImages(type.cacheGb)) return Duration.ZERO
-        return (spec.imageGb / type.fetchGbPerS).seconds
+        return (spec.imageGb / type.fetchGbPerS).seconds.coerceAtMost(MAX_FETCH_TIME)
     }
 
     private companion object {
@@ -58,6 +59,9 @@
         const val SLOWEST_FETCH_FACTOR = 1.5
         const val FASTEST_FETCH_FACTOR = 0.75
 
+        /** Users may submit any image size; differences of infinite durations are undefined. */
+        val MAX_FETCH_TIME = 1.days
+
         /** Allows for several heartbeat intervals and for clock adjustments. */
         val WAIT_MARGIN = 7.seconds
     }
--- a/src/main/kotlin/org/elderhitch/scheduler/StartDeadlines.kt
+++ b/src/main/kotlin/org/elderhitch/scheduler/StartDeadlines.kt
@@ -6,6 +6,7 @@
 import org.elderhitch.time.MonotonicInstant
 import java.util.TreeSet
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.days
 import kotlin.time.Duration.Companion.seconds
 
 /** The time by which a job's tasks should start. [isLate]: the job has missed, or will miss, its first objective. */
@@ -78,6 +79,9 @@
         /** A task whose run time exceeds its objective still gets at least this share of the objective to start. */
         private const val MIN_START_SHARE = 0.1
 
+        /** Longer than any objective. The sum over all waiting arrays must be finite, or their order is undefined. */
+        private val MAX_DURATION = 36_500.days
+
         /** Further deadlines of a job that missed all its objectives, as multiples of the last objective. */
         private val MISSED_OBJECTIVE_FACTORS = listOf(2, 4)
 
@@ -113,7 +117,7 @@
             val next = array.deadlines.indexOfFirst { it >= now }
             val index = if (next < 0) array.deadlines.lastIndex else next
             val duration = if (weightInUse > 0) array.work / weightInUse else Duration.ZERO
-            return ScheduledArray(array, index, duration)
+            return ScheduledArray(array, index, duration.coerceAtMost(MAX_DURATION))
         }
     }
 }
--- a/src/test/kotlin/org/elderhitch/scheduler/GangStartDelaysTest.kt
+++ b/src/test/kotlin/org/elderhitch/scheduler/GangStartDelaysTest.kt
@@ -31,7 +31,7 @@
         TypeInfo(MachineType("g8"), Resources(48.0, 8.0, 288.0), 120.0, 0.5, 15.0, 6.0, 60.seconds, listOf(Zone("a")))
     private val table = TaskTable(SteadyClock { MonotonicInstant(0) }, 120.seconds)
 
-    private fun delays(imageGb: Double): Map<TaskId, Duration> {
+    private fun delays(imageGb: Double, fetchGbPerS: Double = type.fetchGbPerS): Map<TaskId, Duration> {
         val spec = JobSpec(
             JobId("req-1"),
             "class",
@@ -59,7 +59,11 @@
         }
         table.workers.getValue(MachineId("m0")).recordImageUse(spec.image, imageGb)
         val decisions = List(3) { PlacementDecision(TaskId(spec.id, it), MachineId("m$it"), null) }
-        return GangStartDelays(30.seconds, table, Catalog(mapOf(type.name to type))).startDelays(decisions)
+        return GangStartDelays(
+            30.seconds,
+            table,
+            Catalog(mapOf(type.name to type.copy(fetchGbPerS = fetchGbPerS))),
+        ).startDelays(decisions)
     }
 
     /**
@@ -74,6 +78,15 @@
         assertEquals(1, delays(20.0).size)
     }
 
+    /**
+     * Guards against image sizes that users submit without a bound: differences of infinite durations threw, so that
+     * nothing that the cycle had placed was started.
+     */
+    @Test
+    fun `no member is delayed when the image is huge`() {
+        for (imageGb in listOf(1e10, 1e15)) assertEquals(emptyMap(), delays(imageGb, fetchGbPerS = 1e-4), "$imageGb GB")
+    }
+
     @Test
     fun `no member is delayed when fetches are short`() = assertEquals(emptyMap(), delays(6.0))
 }
--- a/src/test/kotlin/org/elderhitch/scheduler/StartDeadlinesTest.kt
+++ b/src/test/kotlin/org/elderhitch/scheduler/StartDeadlinesTest.kt
@@ -117,6 +117,31 @@
     private fun countLateJobs(jobs: List<WaitingArray>, weightInUse: Double): Int =
         StartDeadlines.schedule(jobs, weightInUse, opened).values.count { it.isLate }
 
+    /**
+     * Guards against estimates that users submit without a bound: sums of infinite durations threw, so that no cycle
+     * ran, and a deadline beyond the range of the clock counted as missed long ago.
+     */
+    @Test
+    fun `arrays with huge estimates and deadlines are scheduled after the others`() {
+        for (huge in listOf(1e10.seconds, 1e15.seconds)) {
+            val specs = listOf(
+                spec(1, "sack"),
+                spec(2, "sack", estimate = huge),
+                spec(3, "sack", estimate = huge),
+                spec(4, "other", deadline = huge),
+            )
+            val waiting = specs.map { deadlines.waitingArray(it, opened, pending = 1_000) }
+            for (weightInUse in listOf(0.0, 1e-12, 4.0)) {
+                val scheduled = StartDeadlines.schedule(waiting, weightInUse, opened + 1.seconds)
+                assertEquals(4, scheduled.size)
+                val first = scheduled.getValue(JobId("req-1")).at
+                val unlimited = scheduled.getValue(JobId("req-4")).at
+                assertTrue(unlimited > first, "the deadline $huge is before the others")
+                assertTrue(scheduled.values.all { it.at > opened }, "$huge, weight $weightInUse: $scheduled")
+            }
+        }
+    }
+
     @Test
     fun `schedule finds a largest set of arrays in time when arrays are random`() {
         val random = Random(11)
