Images: bounded lists, and hints encoded in few attempts

Images of size 0 never fill a machine's cache, so each image that ever ran there stayed in its list, which each cycle reads. Every 10 s the leader encodes the images of all machines, and encoded them again with one fewer until they fitted into a value: 30,000 images took longer than 15 s, in which it answers nothing.

Change: the 256 images used last are remembered for each machine, and the number that fits is found by bisection.

Which hints are stored for ordinary images is unchanged.

--- a/src/main/kotlin/org/elderhitch/tasks/ImageHints.kt
+++ b/src/main/kotlin/org/elderhitch/tasks/ImageHints.kt
@@ -65,12 +65,15 @@
         images: List<List<Any?>>,
         maxValueBytes: Int,
     ): Map<String, Any?> {
-        var count = images.size
-        while (true) {
-            val value = header + (IMAGES to images.take(count))
-            if (count == 0 || Json.bytes(value).size <= maxValueBytes) return value
-            count--
+        fun value(count: Int) = header + (IMAGES to images.take(count))
+        fun fits(count: Int) = Json.bytes(value(count)).size <= maxValueBytes
+        var fitting = 0
+        var tooMany = images.size + 1
+        while (tooMany - fitting > 1) {
+            val middle = (fitting + tooMany) / 2
+            if (fits(middle)) fitting = middle else tooMany = middle
         }
+        return value(fitting)
     }
 
     private fun parseId(id: MachineId): NumberedId? {
--- a/src/main/kotlin/org/elderhitch/tasks/WorkerState.kt
+++ b/src/main/kotlin/org/elderhitch/tasks/WorkerState.kt
@@ -114,7 +114,7 @@
     /** When [view] was built. */
     var viewedAt: MonotonicInstant = MonotonicInstant.NEVER
 
-    /** Images used on this machine with their sizes in gigabytes, least recently used first. */
+    /** At most [MAX_IMAGES] images used on this machine with their sizes in gigabytes, least recently used first. */
     private val images = LinkedHashMap<Image, Double>()
 
     /** Records a message of [agentEpoch] that is not [MessageFreshness.STALE] and was sent no later than [at]. */
@@ -162,6 +162,7 @@
     fun recordImageUse(image: Image, gigabytes: Double) {
         images.remove(image)
         images[image] = gigabytes
+        if (images.size > MAX_IMAGES) images.remove(images.keys.first())
     }
 
     /** All images recorded by [recordImageUse] with their sizes in gigabytes, least recently used first. */
@@ -178,4 +179,9 @@
         }
         return cached
     }
+
+    private companion object {
+        /** Any number of images of size 0 would count as cached. */
+        const val MAX_IMAGES = 256
+    }
 }
--- a/src/test/kotlin/org/elderhitch/tasks/ImageHintsTest.kt
+++ b/src/test/kotlin/org/elderhitch/tasks/ImageHintsTest.kt
@@ -4,10 +4,12 @@
 import org.elderhitch.jobs.Image
 import org.elderhitch.json.Json
 import org.elderhitch.json.JsonObject
+import org.junit.jupiter.api.assertTimeoutPreemptively
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
+import java.time.Duration as JavaDuration
 
 class ImageHintsTest {
     @Test
@@ -42,6 +44,17 @@
         )
     }
 
+    /** Guards against a cost that grows with the square of the number of images, which users determine. */
+    @Test
+    fun `hints of many images are encoded quickly, and as many as fit are kept`() {
+        val imagesByMachine = List(120) { n ->
+            MachineId("host-%06d".format(n)) to List(250) { Image("image-$n-$it") to 0.0 }.toMap()
+        }.toMap()
+        val value = assertTimeoutPreemptively(JavaDuration.ofSeconds(15)) { ImageHints.encode(imagesByMachine, 8192) }
+        val bytes = Json.bytes(value).size
+        assertTrue(bytes in 8192 - 100..8192, "$bytes bytes")
+    }
+
     @Test
     fun `a malformed value decodes to no hints`() {
         for (text in listOf(
