A waiting gang no longer costs a cycle a list of all its tasks

What callers saw: nothing in an incident; found in the search for lists whose length users determine. Each scheduling cycle listed all tasks of each gang that waits, up to 100,000 of them, 40 times a second.

Change: the pending tasks of a job are a view that finds them while it is iterated; a gang's are iterated only when the whole gang is placed.

--- a/src/main/kotlin/org/elderhitch/scheduler/JobViewBuilder.kt
+++ b/src/main/kotlin/org/elderhitch/scheduler/JobViewBuilder.kt
@@ -34,8 +34,8 @@
             if (job.isGang) mayStartGang(job) else job.placements.size + job.completed.count < job.spec.tasks
         if (!mayPlaceTasks) return null
         val trialLimit = failureAttribution.trialLimit(job)
-        val limit = if (job.isGang) job.spec.tasks else minOf(MAX_PENDING_TASKS, trialLimit ?: MAX_PENDING_TASKS)
-        val pending = pendingTasks(job, limit)
+        val limit = (trialLimit ?: MAX_PENDING_TASKS).coerceIn(0, MAX_PENDING_TASKS)
+        val pending = PendingTasks(job).let { if (job.isGang) it else it.take(limit) }
         if (pending.isEmpty()) return null
         return JobView(
             job.spec,
@@ -69,16 +69,6 @@
         waitingMembers.forEach { table.stop(job, it, Duration.ZERO) }
     }
 
-    private fun pendingTasks(job: JobState, limit: Int): List<Int> {
-        val pending = ArrayList<Int>()
-        var index = job.completed.firstMissing(0)
-        while (index < job.spec.tasks && pending.size < limit) {
-            if (index !in job.placements) pending.add(index)
-            index = job.completed.firstMissing(index + 1)
-        }
-        return pending
-    }
-
     private fun withDeadlines(waiting: List<WaitingJob>, context: CycleContext): List<JobView> {
         val (arrays, gangsAndServices) = waiting.partition { it.state.spec.kind == JobKind.ARRAY }
         val weightInUse = weightInUseByClass()
