Arrival rates of the 500 busiest job classes only

What callers saw: nothing in an incident; found in the search for loops whose length users determine. Each plan and each cycle considers all classes that were ever submitted, and users choose their names.

Change: above 500 classes the one with the lowest rate is forgotten.

--- a/src/main/kotlin/org/elderhitch/fleet/ArrivalRates.kt
+++ b/src/main/kotlin/org/elderhitch/fleet/ArrivalRates.kt
@@ -17,6 +17,11 @@
     fun jobOpened(spec: JobSpec, now: MonotonicInstant) {
         val rate = tasksPerSecond(spec.jobClass, now) + spec.tasks / TIME_CONSTANT.toDouble(DurationUnit.SECONDS)
         rateByClass[spec.jobClass] = ClassRate(spec, rate, now)
+        if (rateByClass.size > MAX_CLASSES) removeSlowestClass(now)
+    }
+
+    private fun removeSlowestClass(now: MonotonicInstant) {
+        rateByClass.keys.minByOrNull { tasksPerSecond(it, now) }?.let(rateByClass::remove)
     }
 
     fun tasksPerSecond(jobClass: String, now: MonotonicInstant): Double =
@@ -36,5 +41,8 @@
 
     private companion object {
         val TIME_CONSTANT = 120.seconds
+
+        /** Each plan and each scheduling cycle considers all classes, and users may submit any number of them. */
+        const val MAX_CLASSES = 500
     }
 }
