Jobs with a tiny amount of GPUs no longer expose idle GPUs to small tasks

Tasks without GPUs must leave the CPUs that the free GPUs of a machine need, unless they could then run nowhere. One open job with 1e-9 GPUs made that need larger than any machine, so every task was exempt for as long as the job was open.

Change: tasks that use less than 0.01 GPUs don't count towards the need.

--- a/src/main/kotlin/org/elderhitch/scheduler/CycleInputBuilder.kt
+++ b/src/main/kotlin/org/elderhitch/scheduler/CycleInputBuilder.kt
@@ -137,13 +137,13 @@
     private fun isEligibleForReservation(job: JobState): Boolean =
         !job.isTerminal && !job.isGang && job.spec.priority != Priority.LOW
 
-    /** The highest CPU and memory requests per GPU among open jobs. */
+    /** The highest CPU and memory requests per GPU among open jobs whose tasks use a noticeable share of a GPU. */
     private fun hostResourcesPerGpu(): Resources {
         var cpus = 0.0
         var memoryGb = 0.0
         for (job in table.jobs.values) {
             val need = job.spec.resources
-            if (need.gpus <= 0 || job.isTerminal) continue
+            if (need.gpus < MIN_GPU_SHARE || job.isTerminal) continue
             cpus = maxOf(cpus, need.cpus / need.gpus)
             memoryGb = maxOf(memoryGb, need.memoryGb / need.gpus)
         }
@@ -153,5 +153,8 @@
     private companion object {
         /** How often the view of a machine that is fetching an image is rebuilt. */
         val FETCH_REFRESH_INTERVAL = 2.seconds
+
+        /** Tasks that use less of a GPU run out of CPUs long before they run out of GPUs. */
+        const val MIN_GPU_SHARE = 0.01
     }
 }
--- a/src/test/kotlin/org/elderhitch/scheduler/CycleInputBuilderTest.kt
+++ b/src/test/kotlin/org/elderhitch/scheduler/CycleInputBuilderTest.kt
@@ -13,6 +13,7 @@
 import org.elderhitch.json.Json
 import org.elderhitch.leadership.LeadershipState
 import org.elderhitch.leadership.Term
+import org.elderhitch.placement.CycleInput
 import org.elderhitch.settings.Team
 import org.elderhitch.settings.TeamName
 import org.elderhitch.settings.Zone
@@ -42,14 +43,17 @@
         now,
     )
 
-    private fun open(id: String, tasks: Int): JobState {
-        val job = ClassArchiveTraining.exampleJob(id, "array") + ("crates" to tasks)
+    private fun open(id: String, tasks: Int, values: Map<String, Any?> = emptyMap()): JobState {
+        val job = ClassArchiveTraining.exampleJob(id, "array") + ("crates" to tasks) + values
         val spec = JobCodec.decode(Json.parseObject(Json.bytes(job)))
         return table.open(JobEvent.Opened(spec, Revision(7)))
     }
 
     /** Returns the number of pending tasks and whether the job is starved, for each view of the job. */
-    private fun pendingAndStarved(id: String, gpuLimit: Double?): List<Pair<Int, Boolean>> {
+    private fun pendingAndStarved(id: String, gpuLimit: Double?): List<Pair<Int, Boolean>> =
+        build(gpuLimit).jobs.filter { it.spec.id.text == id }.map { it.pending.size to it.isStarved }
+
+    private fun build(gpuLimit: Double? = null): CycleInput {
         val teams = TeamName("team").let { mapOf(it to Team(it, 0.0, 0.0, null, gpuLimit)) }
         val context = CycleContext(
             leadership,
@@ -60,8 +64,21 @@
             mayRunUnreported = { false },
             isUsable = { false },
         )
-        val input = CycleInputBuilder(table, FailureAttribution(table), teams, emptyList()).build(context)
-        return input.jobs.filter { it.spec.id.text == id }.map { it.pending.size to it.isStarved }
+        return CycleInputBuilder(table, FailureAttribution(table), teams, emptyList()).build(context)
+    }
+
+    /**
+     * Guards against a job that switches off the protection of idle GPUs for all others: CPUs per GPU are a quotient,
+     * and a tiny amount of GPUs made it larger than any machine.
+     */
+    @Test
+    fun `the CPUs that a GPU needs do not depend on jobs with a tiny amount of GPUs`() {
+        open("req-1", 1, mapOf("cores" to 4.0, "accelerators" to 1.0, "memGb" to 30.0))
+        open("req-2", 1, mapOf("cores" to 3.0, "accelerators" to 0.5, "memGb" to 8.0))
+        for ((n, gpus) in listOf(0.0, 1e-300, 1e-9, 1e-3).withIndex()) {
+            open("req-1$n", 1, mapOf("cores" to 1.0, "accelerators" to gpus, "memGb" to 1.0))
+        }
+        assertEquals(Resources(6.0, 0.0, 30.0), build().hostResourcesPerGpu)
     }
 
     /**
