Preemptions for many small tasks: only the machine that changed is assessed

What callers saw: nothing in an incident; found by measuring cycles with machines whose 400 slots are taken by tasks without amounts.

Change: what would have to be stopped on a machine is kept while a job's tasks are placed, and assessed again only after a change there. The choice is the same.

The new test, with 800 machines, failed before with "the cycle is not done ==> execution timed out after 20000 ms" and passes now, as do the tests of preemption.

--- a/src/main/kotlin/org/elderhitch/placement/Preemption.kt
+++ b/src/main/kotlin/org/elderhitch/placement/Preemption.kt
@@ -14,6 +14,27 @@
     private val scorer: MachineScorer,
     private val decisions: CycleDecisions,
 ) {
+    /**
+     * What has to be stopped on a machine for one more task of a job, as long as the machine has this [free] and
+     * [releasing] capacity. [victims] is null if the task would not fit even then.
+     */
+    private class Option(
+        val free: Resources,
+        val releasing: Resources,
+        val victims: List<PreemptionCandidate>?,
+        val cost: Double,
+    ) {
+        /** Resources are immutable: each change on a machine replaces one of them. */
+        fun isUpToDate(machine: RemainingCapacity): Boolean = free === machine.free && releasing === machine.releasing
+    }
+
+    /**
+     * The options for tasks of [optionsJob] by machine. A job may need a thousand preemptions in a cycle, and each of
+     * them changes a single machine, so the options of the others are kept.
+     */
+    private val options = HashMap<RemainingCapacity, Option>()
+    private var optionsJob: JobSpec? = null
+
     private val lateJobs: Set<JobId> = input.jobs.filter { it.isLate }.mapTo(HashSet()) { it.spec.id }
 
     /**
@@ -68,22 +89,36 @@
         var best: RemainingCapacity? = null
         var bestVictims: List<PreemptionCandidate> = emptyList()
         var bestFetchSeconds = Double.MAX_VALUE
+        var bestCost = Double.MAX_VALUE
         for (machine in index.preemptibleMachines) {
             if (!hasPreemptible(machine, spec.priority) || !isAccepted(machine)) continue
-            val victims = victims(machine, spec, spec.priority) ?: continue
+            val option = option(machine, spec)
+            val victims = option.victims ?: continue
             val fetchSeconds = scorer.fetchSeconds(spec, machine)
             val isCheaper = best == null ||
                 fetchSeconds < bestFetchSeconds ||
-                (fetchSeconds == bestFetchSeconds && cost(victims, spec.resources) < cost(bestVictims, spec.resources))
+                (fetchSeconds == bestFetchSeconds && option.cost < bestCost)
             if (isCheaper) {
                 best = machine
                 bestVictims = victims
                 bestFetchSeconds = fetchSeconds
+                bestCost = option.cost
             }
         }
         return best?.also { preempt(it, bestVictims) }
     }
 
+    private fun option(machine: RemainingCapacity, spec: JobSpec): Option {
+        if (optionsJob !== spec) {
+            optionsJob = spec
+            options.clear()
+        }
+        options[machine]?.takeIf { it.isUpToDate(machine) }?.let { return it }
+        val victims = victims(machine, spec, spec.priority)
+        val cost = victims?.let { cost(it, spec.resources) } ?: Double.MAX_VALUE
+        return Option(machine.free, machine.releasing, victims, cost).also { options[machine] = it }
+    }
+
     /** Whether the machine has a preemptible task with a priority below [below]. */
     fun hasPreemptible(machine: RemainingCapacity, below: Priority): Boolean {
         val lowest = machine.lowestPreemptiblePriority
--- a/src/test/kotlin/org/elderhitch/placement/CycleCostTest.kt
+++ b/src/test/kotlin/org/elderhitch/placement/CycleCostTest.kt
@@ -41,6 +41,18 @@
         return MachineView(MachineId("m$n"), MachineType(type), Zone("a"), false, capacity, images, load)
     }
 
+    /** A machine whose slots are all taken by preemptible tasks of the job. */
+    private fun fullMachine(n: Int, job: JobSpec): MachineView {
+        val limit = TaskLimits.MAX_TASKS_PER_MACHINE
+        val victims = List(limit) {
+            PreemptionCandidate(TaskId(job.id, n * limit + it), job.priority, job.resources)
+        }
+        val empty = machine(n)
+        val free = empty.capacity - job.resources * limit
+        val load = MachineLoad(free, Resources.NONE, victims, serviceWeight = 0.0, isEmpty = false)
+        return MachineView(empty.id, empty.type, empty.zone, empty.spot, empty.capacity, empty.images, load)
+    }
+
     private fun view(spec: JobSpec, pending: Int = spec.tasks, revision: Long = 1) =
         JobView(spec, Revision(revision), (0 until pending).toList(), emptyMap(), null, isLate = true)
 
@@ -143,27 +155,25 @@
     fun `a full machine's slots are freed by preemption like its other resources`() {
         val nothing = mapOf("cores" to 0.0, "accelerators" to 0.0, "memGb" to 0.0)
         val idle = UnusualAmounts.job("req-1", "array", 1_000, nothing + ("urgency" to "idle"))
-        val limit = TaskLimits.MAX_TASKS_PER_MACHINE
-        val victims = List(limit) {
-            PreemptionCandidate(TaskId(idle.id, it), idle.priority, idle.resources)
-        }
-        val empty = machine(0)
-        val full = MachineView(
-            empty.id,
-            empty.type,
-            empty.zone,
-            empty.spot,
-            empty.capacity,
-            empty.images,
-            MachineLoad(empty.capacity - idle.resources * limit, Resources.NONE, victims, 0.0, isEmpty = false),
-        )
         val urgent = UnusualAmounts.job("req-2", "array", 3, mapOf("urgency" to "urgent"))
-        val output = cycle(listOf(full), listOf(view(urgent)), "preemption")
+        val output = cycle(listOf(fullMachine(0, idle)), listOf(view(urgent)), "preemption")
         assertEquals(3, output.preempted.size)
         assertEquals(emptyList(), output.placed)
         assertEquals(emptyList(), output.unplaced.map { it.count })
     }
 
+    /** Guards against sorting all tasks of all machines again for each task that needs a preemption. */
+    @Test
+    fun `thousands of preemptions on machines full of tasks without amounts are decided quickly`() {
+        val nothing = mapOf("cores" to 0.0, "accelerators" to 0.0, "memGb" to 0.0)
+        val idle = UnusualAmounts.job("req-1", "array", 100_000, nothing + ("urgency" to "idle"))
+        val machines = List(800) { fullMachine(it, idle) }
+        val urgent = List(3) { UnusualAmounts.job("req-2$it", "array", 1_000, nothing + ("urgency" to "urgent")) }
+        val output = cycle(machines, urgent.map { view(it) }, "thousands of preemptions")
+        assertEquals(3_000, output.preempted.toSet().size)
+        assertEquals(emptyList(), output.unplaced.map { it.count })
+    }
+
     /** Random mixes of jobs with unusual amounts keep the limits of each machine. */
     @Test
     fun `random mixes keep the capacity of each machine`() {
