Debug log of every command sent to a worker, and by which way

Cause: the records of the incident show on the machines that an attempt was started again after its record had been dropped. The controllers' logs could not tell which of them had sent what for a task, whether in a response or to the worker's own address, nor why.

One search for a task's id gives its life on all controllers. Nothing changes in what is sent.

--- a/src/main/kotlin/org/elderhitch/heartbeat/CommandPlanner.kt
+++ b/src/main/kotlin/org/elderhitch/heartbeat/CommandPlanner.kt
@@ -11,6 +11,8 @@
 
 /** Plans the commands for a worker from its reports and the placements decided since, and records them as issued. */
 internal class CommandPlanner(private val table: TaskTable, private val ledger: ActionLedger) {
+    private val commandLog = CommandLog()
+
     /**
      * Plans the commands for the response to a heartbeat: stops, then starts, then reaps. Commands that exceed the size
      * limit of a response wait for the next one. Otherwise a start might be considered sent although it was cut off,
@@ -26,7 +28,7 @@
         for (placement in placements) if (isStartDue(placement, now)) addStart(placement, now, commands)
         addReaps(worker, commands)
         val issued = if (commands.size > MAX_COMMANDS) commands.subList(0, MAX_COMMANDS) else commands
-        recordIssued(worker, issued, now)
+        recordIssued(worker, issued, CommandPath.RESPONSE, now)
         return issued
     }
 
@@ -93,7 +95,7 @@
                 addDirectStart(placement, now, commands)
             }
         }
-        recordIssued(worker, commands, now)
+        recordIssued(worker, commands, CommandPath.DIRECT, now)
         return commands
     }
 
@@ -166,8 +168,14 @@
         commands.add(start)
     }
 
-    private fun recordIssued(worker: WorkerState, commands: List<Command>, now: MonotonicInstant) {
+    private fun recordIssued(
+        worker: WorkerState,
+        commands: List<Command>,
+        path: CommandPath,
+        now: MonotonicInstant,
+    ) {
         for (command in commands) {
+            commandLog.issued(worker, command, path)
             when (command) {
                 is Command.Start -> ledger.recordStart(command.task, now)
                 is Command.Stop -> ledger.recordStop(command.task, isStopRequested(worker, command), now)
