Test: a failed task runs again on the only machine that it may use

Cause: the protocol doesn't say whether a worker that still lists an exited attempt starts another attempt of that task or refuses it as busy. A way to hold attempts back could keep a job from its only machine for good.

Change: stand-in workers can refuse the other attempt as busy; the test runs with both behaviours, with repeated commands. The job avoids the machine for 300 s after the failure, as it did before.

--- a/src/main/kotlin/org/elderhitch/lab/SimulatedCluster.kt
+++ b/src/main/kotlin/org/elderhitch/lab/SimulatedCluster.kt
@@ -61,6 +61,8 @@
     val types: List<StandInType> = listOf(CloudStandIn.USUAL),
     val cloudPerS: Double = 10.0,
     val policy: FleetPolicy = FleetPolicy(),
+    /** Whether machines refuse an attempt as busy while they have the record of another attempt that has exited. */
+    val refusesBesideExited: Boolean = false,
     /** Called after each scheduling cycle with the number of machines and candidates it looked at. */
     val onCycle: (machineVisits: Long) -> Unit = {},
 )
@@ -168,6 +170,8 @@
 
     override fun lacksRoom(task: String, machine: String): Boolean = lacksRoom.invoke(task, machine)
 
+    override val refusesBesideExited: Boolean get() = simulationSettings.refusesBesideExited
+
     fun startNode(name: String) {
         val context = simulationScope.coroutineContext
         val processor = NodeProcessor(context[ContinuationInterceptor] as CoroutineDispatcher, clock)
--- a/src/main/kotlin/org/elderhitch/standin/WorkerStandIn.kt
+++ b/src/main/kotlin/org/elderhitch/standin/WorkerStandIn.kt
@@ -53,6 +53,9 @@
     /** Whether the machine refuses to start the task, as if it had too few free resources. */
     public fun lacksRoom(task: String, machine: String): Boolean = false
 
+    /** Whether machines refuse an attempt as busy while they have the record of another attempt that has exited. */
+    public val refusesBesideExited: Boolean get() = false
+
     /** Whether the task fails on that machine as soon as it is running. */
     public fun fails(task: String, machine: String): Boolean = false
 }
@@ -323,26 +326,35 @@
         val attempt = command.long("cast")
         val known = tasks[id]
         when (command.string("call")) {
-            "start" -> if (known == null || !known.isPresent && known.attempt != attempt) startTask(id, attempt)
+            "start" -> when {
+                known == null -> startTask(id, attempt)
+                known.isPresent || known.attempt == attempt -> Unit
+                watch.refusesBesideExited -> refuseTask(id, attempt, "busy")
+                else -> startTask(id, attempt)
+            }
             "kill" -> if (known != null && known.attempt == attempt && known.isPresent) endTask(known, "stopped")
             "reap" -> if (known != null && known.attempt == attempt && !known.isPresent) tasks.remove(id)
         }
     }
 
+    private fun refuseTask(id: String, attempt: Long, cause: String) {
+        val task = Task(id, attempt, script = null)
+        task.phase = "ended"
+        task.cause = cause
+        tasks[id] = task
+        changed = true
+        watch.refused(id, machine.id)
+    }
+
     private fun startTask(id: String, attempt: Long) {
         val task = Task(id, attempt, scriptOf(id.substringBeforeLast('/')))
         changed = true
         val presentTasks = tasks.values.filter { it.isPresent }
-        tasks[id] = task
         val cores = (presentTasks + task).sumOf { it.script?.cores ?: 0.0 }
         val accelerators = (presentTasks + task).sumOf { it.script?.accelerators ?: 0.0 }
         val tooLarge = cores > machine.kind.cores || accelerators > machine.kind.accelerators
-        if (tooLarge || watch.lacksRoom(id, machine.id)) {
-            task.phase = "ended"
-            task.cause = "no_room"
-            watch.refused(id, machine.id)
-            return
-        }
+        if (tooLarge || watch.lacksRoom(id, machine.id)) return refuseTask(id, attempt, "no_room")
+        tasks[id] = task
         task.fetchDoneAt = clock.now() + (task.script?.fetchTime ?: Duration.ZERO)
         watch.started(id, machine.id)
     }
--- a/src/test/kotlin/org/elderhitch/app/RepeatedCommandsTest.kt
+++ b/src/test/kotlin/org/elderhitch/app/RepeatedCommandsTest.kt
@@ -140,6 +140,37 @@
             assertCommandsWereRepeated()
         }
 
+    /** The protocol doesn't say whether a worker starts another attempt of a task whose first one it still lists. */
+    @Test
+    fun `a task that only one machine may run starts there again after it failed`() {
+        for (refuses in listOf(false, true)) {
+            faultScenario(1L..3L, { seed ->
+                SimulationSettings(
+                    seed,
+                    heartbeatIntervalS = 5.0,
+                    leaseS = 17.5,
+                    zones = listOf("a"),
+                    machinesPerZone = 1,
+                    refusesBesideExited = refuses,
+                )
+            }) {
+                val oneMachine = mapOf("borrowedRigs" to false)
+                submit("req-900001", "daemon", 2, 0.0, oneMachine)
+                untilRunning("req-900001", 2)
+                delay(12.seconds)
+                val failed = cluster.failFirstStarts("req-1/1")
+                repeatCommandsAfter(2, 6, 20, 50, 310, 320, 340)
+                submit("req-1", "array", 4, 500.0, oneMachine)
+                // A job avoids a machine on which one of its tasks failed for 300 s.
+                cluster.until("all run", 330.seconds) { failed.isNotEmpty() && running("req-1") == 4 }
+                delay(60.seconds)
+                assertEquals(5, startsOf("req-1").values.sum())
+                assertTrue(cluster.refusedAt.isEmpty(), "a start was refused")
+                assertCommandsWereRepeated()
+            }
+        }
+    }
+
     /** Repeats everything at two moments, the latest commands first, and then in the order in which they were sent. */
     @Test
     fun `commands that all arrive again in the reverse order change nothing`() = faultScenario(1L..4L, ::settings) {
