Direct starts are looked through only when a worker reports a higher token

Cause: each heartbeat went through all starts that were sent directly to its worker, to drop those that it refuses from now on.

Change: that is done once for each higher token that the worker reports, and the starts of a task are kept in a short list.

Result: behaviour is the same: the tests of repeated and direct commands pass.

--- a/src/main/kotlin/org/elderhitch/heartbeat/DirectStarts.kt
+++ b/src/main/kotlin/org/elderhitch/heartbeat/DirectStarts.kt
@@ -13,38 +13,41 @@
  * refuses the repeat.
  */
 internal class DirectStarts {
-    /** The token that each start was sent with. */
-    private val tokens = HashMap<TaskId, HashMap<Attempt, FencingToken>>()
+    private class SentStart(val attempt: Attempt, val token: FencingToken)
+
+    /** The starts of each task; usually one. */
+    private val starts = HashMap<TaskId, ArrayList<SentStart>>()
 
     fun add(start: Command.Start, token: FencingToken) {
-        tokens.getOrPut(start.task) { HashMap() }[start.attempt] = token
+        remove(start)
+        starts.getOrPut(start.task) { ArrayList(1) }.add(SentStart(start.attempt, token))
     }
 
     /** Removes starts that were certainly refused or not sent. */
-    fun removeAll(starts: Collection<Command.Start>) {
-        for ((task, attempt) in starts) {
-            val attempts = tokens[task] ?: continue
-            attempts.remove(attempt)
-            if (attempts.isEmpty()) tokens.remove(task)
-        }
+    fun removeAll(refused: Collection<Command.Start>) = refused.forEach(::remove)
+
+    private fun remove(start: Command.Start) {
+        val ofTask = starts[start.task] ?: return
+        ofTask.removeAll { it.attempt == start.attempt }
+        if (ofTask.isEmpty()) starts.remove(start.task)
     }
 
     /** Removes and returns the starts that the worker refuses from now on, because it has seen [token]. */
     fun removeBelow(token: FencingToken): List<Command.Start> {
-        val refused = tokens.flatMap { (task, attempts) ->
-            attempts.filterValues { it < token }.keys.map { Command.Start(task, it) }
+        val refused = starts.flatMap { (task, ofTask) ->
+            ofTask.filter { it.token < token }.map { Command.Start(task, it.attempt) }
         }
         removeAll(refused)
         return refused
     }
 
-    fun clear() = tokens.clear()
+    fun clear() = starts.clear()
 
     /** Whether the worker may still execute the start of this attempt if the highest token it has seen is [token]. */
     fun mayBeRepeated(task: TaskId, attempt: Attempt, token: FencingToken): Boolean =
-        tokens[task]?.get(attempt).let { it != null && it >= token }
+        starts[task].orEmpty().any { it.attempt == attempt && it.token >= token }
 
     /** Same as [mayBeRepeated], for any attempt of the task but [attempt]. */
     fun mayOtherBeRepeated(task: TaskId, attempt: Attempt, token: FencingToken): Boolean =
-        tokens[task].orEmpty().any { (other, sentWith) -> other != attempt && sentWith >= token }
+        starts[task].orEmpty().any { it.attempt != attempt && it.token >= token }
 }
--- a/src/main/kotlin/org/elderhitch/tasks/WorkerState.kt
+++ b/src/main/kotlin/org/elderhitch/tasks/WorkerState.kt
@@ -68,6 +68,9 @@
     var token: FencingToken = FencingToken.NONE
         private set
 
+    /** The highest fencing token of this term that the worker has reported. */
+    private var reportedToken: FencingToken = FencingToken.NONE
+
     /** Directly sent starts that the worker may still execute, or execute again. */
     val directStarts: DirectStarts = DirectStarts()
 
@@ -151,7 +154,8 @@
     /** Records that the worker has seen [seen]. [tokens]: those of this term. */
     fun recordToken(tokens: TokenRange, seen: FencingToken) {
         token = maxOf(token, tokens.first)
-        if (seen !in tokens) return
+        if (seen !in tokens || seen <= reportedToken) return
+        reportedToken = seen
         token = maxOf(token, seen)
         for ((task, attempt) in directStarts.removeBelow(seen)) {
             placements[task]?.takeIf { it.attempt == attempt }?.directStartPending = false
