Lab: faults of messages have an injector of their own

Change: faults of messages move to MessageFaultInjector; drawing and timing stand once, beside Fault. The order of the random draws is the same.

--- a/src/main/kotlin/org/elderhitch/lab/Fault.kt
+++ b/src/main/kotlin/org/elderhitch/lab/Fault.kt
@@ -1,7 +1,9 @@
 package org.elderhitch.lab
 
+import kotlinx.coroutines.delay
 import org.elderhitch.json.JsonObject
 import org.elderhitch.json.MalformedJson
+import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -169,3 +171,13 @@
         private const val MAX_SHARE = 20.0
     }
 }
+
+/** Draws whether the fault affects one of the machines or messages that it may affect. */
+internal fun Fault.affectsNext(random: Random): Boolean = random.nextDouble() < share
+
+/** Lets the fault begin, and end when its duration is over. */
+internal suspend fun Fault.takeEffect(begin: () -> Unit, end: () -> Unit) {
+    begin()
+    delay(lasts)
+    end()
+}
--- a/src/main/kotlin/org/elderhitch/lab/FaultInjector.kt
+++ b/src/main/kotlin/org/elderhitch/lab/FaultInjector.kt
@@ -15,7 +15,7 @@
     private val log = LoggerFactory.getLogger("elderhitch.lab")
     private val random = Random(seed xor SEED_SALT)
     private val network = cluster.network
-    private val repeats = RepeatFaults(seed, cluster)
+    private val messageFaults = MessageFaultInjector(seed, cluster, random)
     private val cloud = cluster.platform.cloud
     private val down = HashSet<String>()
     private var stateOutages = 0
@@ -31,10 +31,10 @@
         )
         when (fault.kind) {
             FaultKind.HANG -> hang(affectedWorkers(fault), fault.lasts)
-            FaultKind.DIE -> cloud.machines().filter {
-                it.up && isAffected(fault)
-            }.forEach { cluster.platform.kill(it.id) }
-            FaultKind.SPOT -> cloud.machines().filter { it.spot && isAffected(fault) }.forEach { cloud.remove(it.id) }
+            FaultKind.DIE -> killMachines(fault)
+            FaultKind.SPOT -> cloud.machines().filter {
+                it.spot && fault.affectsNext(random)
+            }.forEach { cloud.remove(it.id) }
             FaultKind.SLOW_BOOT -> changeBootTime(fault) { 1 + random.nextDouble() * fault.share }
             FaultKind.FAST_BOOT -> changeBootTime(fault) { FAST_BOOT_TIME / StormLab.BOOT }
             FaultKind.ZONE -> cutZone(fault)
@@ -48,57 +48,17 @@
             FaultKind.CLOUD -> cloudOutage(fault)
             FaultKind.BURST -> users.burst(scope, fault.share)
             FaultKind.WITHDRAWALS -> users.withdrawOpen(scope, fault.share)
-            FaultKind.AT_END -> forDuration(fault, { users.withdrawAtEndShare = fault.share }) {
-                users.withdrawAtEndShare =
-                    0.0
-            }
-            FaultKind.LOOKS -> forDuration(fault, { users.checksAllNodes = true }) { users.checksAllNodes = false }
+            FaultKind.AT_END -> withdrawAtEnd(fault)
+            FaultKind.LOOKS -> fault.takeEffect({ users.checksAllNodes = true }) { users.checksAllNodes = false }
             FaultKind.ODD -> repeatFor(fault.lasts, ODD_REQUEST_INTERVAL) { scope.launch { users.sendOddRequest() } }
             FaultKind.CALLED_OFF -> withdrawRunning(scope, fault)
             FaultKind.SWARM -> repeatFor(fault.lasts, SWARM_INTERVAL) { users.submitOneTaskJob(scope) }
-            else -> disturbMessages(fault)
+            else -> messageFaults.inject(fault)
         }
     }
 
-    /** Injects faults of messages between machines, controllers and the state service. */
-    private suspend fun disturbMessages(fault: Fault) {
-        when (fault.kind) {
-            FaultKind.PEERS -> forDuration(fault, { network.peersRefuse = true }) { network.peersRefuse = false }
-            FaultKind.LATE_COMMITS -> disturbCommits(fault) { randomCommitFate(fault) }
-            FaultKind.LOST_ANSWERS -> disturbCommits(fault) {
-                if (isAffected(fault)) TransactionOutcome.AnswerLost else TransactionOutcome.Answered
-            }
-            FaultKind.LATE_REPORTS -> slowReports(fault)
-            FaultKind.LATE_COMMANDS -> lateCommands(fault)
-            FaultKind.DEAF -> affectedMachineIds(fault).let {
-                forDuration(fault, { network.unableToReceive += it }) {
-                    network.unableToReceive -=
-                        it
-                }
-            }
-            FaultKind.MUTE -> affectedMachineIds(fault).let {
-                forDuration(fault, { network.unableToConnect += it }) {
-                    network.unableToConnect -=
-                        it
-                }
-            }
-            FaultKind.COPIES -> lateCopies(fault)
-            FaultKind.KEPT_COPIES -> keptCopies(fault)
-            FaultKind.SLOW_STATE -> slowState(fault)
-            FaultKind.REPEATS -> repeats.repeatRequests(fault)
-            FaultKind.TASK_FAILURES -> repeats.failTasks(fault)
-            else -> error("${fault.kind} is not a message fault")
-        }
-    }
-
-    /** Draws whether the fault affects a machine or message. */
-    private fun isAffected(fault: Fault): Boolean = random.nextDouble() < fault.share
-
     private fun affectedWorkers(fault: Fault): List<WorkerStandIn> =
-        cluster.platform.workers().toSortedMap().values.filter { isAffected(fault) }
-
-    private fun affectedMachineIds(fault: Fault): Set<String> =
-        cluster.platform.workers().keys.sorted().filter { isAffected(fault) }.toSet()
+        cluster.platform.workers().toSortedMap().values.filter { fault.affectsNext(random) }
 
     private fun nodeOf(target: Int): String = if (target == Fault.LEADER) {
         cluster.leader() ?: cluster.names[0]
@@ -106,11 +66,11 @@
         cluster.names[target % cluster.names.size]
     }
 
-    private suspend fun forDuration(fault: Fault, begin: () -> Unit, end: () -> Unit) {
-        begin()
-        delay(fault.lasts)
-        end()
-    }
+    private fun killMachines(fault: Fault) =
+        cloud.machines().filter { it.up && fault.affectsNext(random) }.forEach { cluster.platform.kill(it.id) }
+
+    private suspend fun withdrawAtEnd(fault: Fault) =
+        fault.takeEffect({ users.withdrawAtEndShare = fault.share }) { users.withdrawAtEndShare = 0.0 }
 
     private suspend fun hang(machines: Collection<WorkerStandIn>, lasts: Duration) {
         machines.forEach { it.hang() }
@@ -129,7 +89,7 @@
     }
 
     private suspend fun changeBootTime(fault: Fault, factor: () -> Double) =
-        forDuration(fault, { cloud.bootFactor = factor }) { cloud.bootFactor = { 1.0 } }
+        fault.takeEffect({ cloud.bootFactor = factor }) { cloud.bootFactor = { 1.0 } }
 
     private suspend fun restartNodesInTurn(fault: Fault) {
         for (node in cluster.names) {
@@ -140,12 +100,12 @@
 
     private suspend fun pauseNode(fault: Fault) {
         val node = nodeOf(fault.target)
-        forDuration(fault, { cluster.pauseNode(node) }) { cluster.resumeNode(node) }
+        fault.takeEffect({ cluster.pauseNode(node) }) { cluster.resumeNode(node) }
     }
 
     private suspend fun refuseNode(fault: Fault) {
         val node = nodeOf(fault.target)
-        forDuration(fault, { network.refused.add(node) }) { network.refused.remove(node) }
+        fault.takeEffect({ network.refused.add(node) }) { network.refused.remove(node) }
     }
 
     private suspend fun stateOutage(fault: Fault) {
@@ -162,49 +122,6 @@
         if (--cloudOutages == 0) cloud.down = false
     }
 
-    private suspend fun disturbCommits(fault: Fault, fate: () -> TransactionOutcome) =
-        forDuration(fault, { network.transactionOutcome = { _, _ -> fate() } }) {
-            network.transactionOutcome = { _, _ -> TransactionOutcome.Answered }
-        }
-
-    private fun randomCommitFate(fault: Fault): TransactionOutcome = if (!isAffected(fault)) {
-        TransactionOutcome.Answered
-    } else if (random.nextBoolean()) {
-        TransactionOutcome.AnswerLost
-    } else {
-        TransactionOutcome.Late(random.nextInt(1, 40).seconds)
-    }
-
-    private suspend fun slowReports(fault: Fault) {
-        network.slowReports = { if (isAffected(fault)) random.nextInt(100, 45_000).milliseconds else Duration.ZERO }
-        delay(fault.lasts)
-        network.slowReports = { Duration.ZERO }
-    }
-
-    private suspend fun lateCommands(fault: Fault) {
-        network.lateCommands = { if (isAffected(fault)) random.nextInt(1, 60).seconds else null }
-        delay(fault.lasts)
-        network.lateCommands = { null }
-    }
-
-    private suspend fun lateCopies(fault: Fault) {
-        network.lateCopies = { if (isAffected(fault)) random.nextInt(2_000, 60_000).milliseconds else null }
-        delay(fault.lasts)
-        network.lateCopies = { null }
-    }
-
-    private suspend fun keptCopies(fault: Fault) {
-        network.retainsHeartbeatCopy = { isAffected(fault) }
-        delay(fault.lasts)
-        network.retainsHeartbeatCopy = { false }
-    }
-
-    private suspend fun slowState(fault: Fault) {
-        network.slowState = { if (isAffected(fault)) random.nextInt(100, 4_000).milliseconds else Duration.ZERO }
-        delay(fault.lasts)
-        network.slowState = { Duration.ZERO }
-    }
-
     private suspend fun cutZone(fault: Fault) {
         val zone = cluster.zones[fault.target % cluster.zones.size]
         cut(fault) { a, b -> separatesZone(fault, zone, a, b) }
--- a/src/main/kotlin/org/elderhitch/lab/RepeatFaults.kt
+++ b/src/main/kotlin/org/elderhitch/lab/RepeatFaults.kt
@@ -16,7 +16,7 @@
 
     suspend fun repeatRequests(fault: Fault) {
         val repeater = cluster.network.repeater
-        repeater.delays = { _, _ -> if (isAffected(fault)) listOf(randomDelay()) else emptyList() }
+        repeater.delays = { _, _ -> if (fault.affectsNext(random)) listOf(randomDelay()) else emptyList() }
         delay(fault.lasts)
         repeater.delays = { _, _ -> emptyList() }
     }
@@ -24,14 +24,12 @@
     suspend fun failTasks(fault: Fault) {
         val affected = HashMap<String, Boolean>()
         cluster.failing = { task, _ ->
-            cluster.startsOf[task] == 1 && affected.getOrPut(task) { isAffected(fault) }
+            cluster.startsOf[task] == 1 && affected.getOrPut(task) { fault.affectsNext(random) }
         }
         delay(fault.lasts)
         cluster.failing = { _, _ -> false }
     }
 
-    private fun isAffected(fault: Fault): Boolean = random.nextDouble() < fault.share
-
     /** As likely below a few seconds as above: a process may be back within a second. */
     private fun randomDelay(): Duration = MIN_DELAY * (MAX_DELAY / MIN_DELAY).pow(random.nextDouble())
 
--- a/src/main/kotlin/org/elderhitch/lab/SimulatedCluster.kt
+++ b/src/main/kotlin/org/elderhitch/lab/SimulatedCluster.kt
@@ -178,25 +178,21 @@
         processors[name] = processor
         val scope = CoroutineScope(context + SupervisorJob(context[Job]) + processor)
         network.nodes[name] = scope
-        val controller =
-            Controller(
-                scope,
-                settings(
-                    name,
-                ),
-                simulationSettings.policy,
-                network.transport(
-                    name,
-                ),
-                clock, wallClock,
-                Random(
-                    random.nextLong(),
-                ),
-                simulationSettings.features, simulationSettings.openJobsLimit(name), { machineVisits ->
-                    simulationSettings.onCycle(machineVisits)
-                    simulationSettings.costs?.let { processor.charge(it.cycleCost(machineVisits)) }
-                },
-            )
+        val controller = Controller(
+            scope,
+            settings(name),
+            simulationSettings.policy,
+            network.transport(name),
+            clock,
+            wallClock,
+            Random(random.nextLong()),
+            simulationSettings.features,
+            simulationSettings.openJobsLimit(name),
+            { machineVisits ->
+                simulationSettings.onCycle(machineVisits)
+                simulationSettings.costs?.let { processor.charge(it.cycleCost(machineVisits)) }
+            },
+        )
         controllers[name] = controller
         network.handlers["$name:80"] = controller.clientHandler
         network.handlers["$name:81"] = controller.peerHandler
