A takeover waits for all leases that its leader renews without its jobs

A successor started tasks that still ran on machines that it had been answering all along.

Cause: a takeover settles, at the latest, when all leases that earlier terms or this one may have renewed are over. Of this term's own answers only those to workers that didn't know the term were noted. A worker that knows it is reconciled only if the table holds all jobs; with the state service slow and then out right after the claim it doesn't, the worker's lease is renewed by answers that nobody notes, and the takeover settles a lease after the other controllers have confirmed the term. The trace: `takeover settled by=leases over` 16.7 s after the claim, with no machine reconciled; the first task is started elsewhere when the outage is over, and its machine reports it soon after.

Change: each answer to a worker that is not reconciled is noted.

Evidence: the reduced storm violated `ran_twice` and `wrong_place` before, and holds now.

--- a/src/main/kotlin/org/elderhitch/heartbeat/HeartbeatHandler.kt
+++ b/src/main/kotlin/org/elderhitch/heartbeat/HeartbeatHandler.kt
@@ -116,11 +116,8 @@
     private fun renewLease(worker: WorkerState, received: ReceivedHeartbeat) {
         worker.heartbeatAnswered(received.now)
         worker.lastHeartbeatAt = received.now
-        // A worker that was reconciled meanwhile, by its reply to a command or probe, runs no task unknown to this
-        // term.
-        if (!received.acknowledgesTerm && !worker.reconciled) {
-            takeover.recordHeartbeatAnswered(worker.id, received.now)
-        }
+        // Until a worker is reconciled, also one that knows this term, it may run tasks unknown to this term.
+        if (!worker.reconciled) takeover.recordHeartbeatAnswered(worker.id, received.now)
     }
 
     private companion object {
--- a/src/main/kotlin/org/elderhitch/recovery/Takeover.kt
+++ b/src/main/kotlin/org/elderhitch/recovery/Takeover.kt
@@ -37,9 +37,9 @@
     private var earlierLeasesEnd = MonotonicInstant.FOREVER
 
     /**
-     * When this term last answered a heartbeat from a machine that did not know the term yet. Such an answer renews the
-     * lease of tasks that an earlier term started, so [earlierLeasesEnd] does not apply to these machines. Without this
-     * map, tasks were started again although their machine had reconnected just before.
+     * When this term last answered a heartbeat from a machine that was not reconciled yet: one that did not know the
+     * term, or that reported while the table was incomplete. Such an answer renews the lease of tasks that an earlier
+     * term started, so [earlierLeasesEnd] does not apply to these machines.
      */
     private val renewedAt = HashMap<MachineId, MonotonicInstant>()
 
@@ -74,7 +74,7 @@
         renewedAt.remove(machine)
     }
 
-    /** Records that a heartbeat received at [at] from a machine that did not know this term is being answered. */
+    /** Records that a heartbeat received at [at] from a machine that is not reconciled is being answered. */
     fun recordHeartbeatAnswered(machine: MachineId, at: MonotonicInstant) {
         if (!settled) renewedAt[machine] = at
     }
--- a/src/test/kotlin/org/elderhitch/lab/StormLabTest.kt
+++ b/src/test/kotlin/org/elderhitch/lab/StormLabTest.kt
@@ -7,6 +7,7 @@
 import kotlin.test.assertFailsWith
 import kotlin.test.assertNull
 import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 class StormLabTest {
@@ -229,6 +230,51 @@
         }
     }
 
+    /**
+     * The leader crashes, then all nodes, and the state service is slow and out before the successor has loaded the
+     * jobs: it keeps answering workers that know its term, without reconciling their tasks, for longer than a lease.
+     */
+    @Test
+    fun `a takeover does not settle while a leader without its jobs keeps leases alive`() = assertInvariantsHold(
+        Schedule(
+            67,
+            60,
+            180.seconds,
+            listOf(
+                Fault(FaultKind.TASK_FAILURES, 0.seconds, 45.seconds, 0.04),
+                Fault(FaultKind.CRASH, 47_703.milliseconds, 938.milliseconds, target = Fault.LEADER),
+                Fault(
+                    FaultKind.CRASH_ALL,
+                    52_309.milliseconds,
+                    668.milliseconds,
+                    target = Fault.LEADER,
+                    mode = CutMode.RESET,
+                ),
+                Fault(
+                    FaultKind.SLOW_STATE,
+                    52_834.milliseconds,
+                    4364.milliseconds,
+                    0.4,
+                    target = Fault.LEADER,
+                ),
+                Fault(
+                    FaultKind.REFUSED,
+                    57_538.milliseconds,
+                    1532.milliseconds,
+                    target = Fault.LEADER,
+                    mode = CutMode.RESET,
+                ),
+                Fault(
+                    FaultKind.OUTAGE,
+                    59_544.milliseconds,
+                    20_308.milliseconds,
+                    target = Fault.LEADER,
+                    mode = CutMode.RESET,
+                ),
+            ),
+        ),
+    )
+
     /** The first generated storm that violated `ran_twice` without the fix of that incident. */
     @Test
     fun `invariants hold in the generated storm that violated them first`() = assertInvariantsHold(overlapping(509))
