The repeated starts read once more: less state, no second scan, true log

Cause: a second reading of the change. The log gave every start in a response the reason "sent before", also a first one, and its page promised lines that it has not.

Change: due starts and exited tasks are found once a response; a term's range is made once; the grant's term is the first of its tokens; direct requests are passed whole; repeats are chosen by the request; all faults of a share use Fault.takeEffect; failing tasks and repeats are drawn by FaultInjector. The reduced storm names only what its faults read. Behaviour is the same but for the log's reason.

--- a/src/main/kotlin/org/elderhitch/cluster/PeerHeartbeats.kt
+++ b/src/main/kotlin/org/elderhitch/cluster/PeerHeartbeats.kt
@@ -98,14 +98,9 @@
             return
         }
         val until = requestSentAt + heartbeat.delegateMs.milliseconds.shortened()
-        val term = Term(heartbeat.term)
-        ports.delegationGranted(DelegationGrant(term, delegatedTokens(term, heartbeat.lastToken), leader, until))
-    }
-
-    private fun delegatedTokens(term: Term, lastToken: Long): TokenRange = if (lastToken <= term.number) {
-        TokenRange.ofSingleToken(term)
-    } else {
-        TokenRange(term.firstToken, FencingToken(lastToken))
+        val lastToken = maxOf(heartbeat.term, heartbeat.lastToken)
+        val tokens = TokenRange(FencingToken(heartbeat.term), FencingToken(lastToken))
+        ports.delegationGranted(DelegationGrant(tokens, leader, until))
     }
 
     private fun isValidDelegation(leader: NodeName, heartbeat: PeerHeartbeat): Boolean {
--- a/src/main/kotlin/org/elderhitch/cluster/PeerMessages.kt
+++ b/src/main/kotlin/org/elderhitch/cluster/PeerMessages.kt
@@ -30,8 +30,8 @@
      */
     @ProtoNumber(8) val delegateMs: Long = 0,
     /**
-     * With [delegateMs]: the last fencing token that the leader may have sent to a worker of the zone; 0 from an earlier
-     * version, whose only token is the term.
+     * With [delegateMs]: the last fencing token that the leader may have sent to a worker of the zone; 0 from an
+     * earlier version, whose only token is the term.
      */
     @ProtoNumber(9) val lastToken: Long = 0,
 )
--- a/src/main/kotlin/org/elderhitch/delegates/LeaseDelegate.kt
+++ b/src/main/kotlin/org/elderhitch/delegates/LeaseDelegate.kt
@@ -11,17 +11,14 @@
  * Allows a follower to answer heartbeats of its own zone with its leader's [tokens]. [until] is measured from when the
  * follower sent its request, so the grant expires on the follower before the leader assumes that it has.
  */
-public data class DelegationGrant(
-    val term: Term,
-    val tokens: TokenRange,
-    val leader: NodeName,
-    val until: MonotonicInstant,
-)
+public data class DelegationGrant(val tokens: TokenRange, val leader: NodeName, val until: MonotonicInstant) {
+    val term: Term get() = Term(tokens.first.number)
+}
 
 /**
  * The lease delegate's side of a delegation. While this node is cut off from the leader, it answers the workers of its
- * [zone] with the leader's tokens and sends no commands except stops of terminal jobs' tasks, like a leader whose command
- * window has ended. So the workers of a partitioned zone keep their leases.
+ * [zone] with the leader's tokens and sends no commands except stops of terminal jobs' tasks, like a leader whose
+ * command window has ended. So the workers of a partitioned zone keep their leases.
  */
 public class LeaseDelegate(private val zone: Zone) {
     /** The current grant, or null if no leader has granted a delegation or a newer term has revoked it. */
--- a/src/main/kotlin/org/elderhitch/heartbeat/CommandDispatcher.kt
+++ b/src/main/kotlin/org/elderhitch/heartbeat/CommandDispatcher.kt
@@ -27,8 +27,6 @@
     private val events: EventLog,
     private val ports: SchedulerPorts,
 ) {
-    private val commandLog = CommandLog()
-
     /**
      * Sends undelivered commands to workers whose next heartbeat is not due soon.
      *
@@ -68,7 +66,7 @@
         val worker = table.workers[message.machine] ?: return
         worker.commandInFlight = false
         worker.lastCommandAt = now
-        commandLog.answered(worker, message.starts, message.outcome)
+        CommandLog.answered(worker, message.starts, message.outcome)
         if (worker.heartbeatSequence?.agentEpoch != message.agentEpoch) return
         when (val outcome = message.outcome) {
             CommandOutcome.Unknown -> keepStartsPending(worker, message)
--- a/src/main/kotlin/org/elderhitch/heartbeat/CommandLog.kt
+++ b/src/main/kotlin/org/elderhitch/heartbeat/CommandLog.kt
@@ -13,10 +13,9 @@
 }
 
 /**
- * Logs the life of each attempt at debug level: every command sent for it, every report of its exit, and the outcome of
- * every direct request. All lines contain `task=`, so that the lines of all controllers about a task can be collected.
+ * Logs the life of each attempt at debug level: every command sent for it, and the outcome of every direct start. All lines contain `task=`, so that the lines of all controllers about a task can be collected.
  */
-internal class CommandLog {
+internal object CommandLog {
     private val log = LoggerFactory.getLogger("elderhitch.commands")
 
     fun issued(worker: WorkerState, command: Command, path: CommandPath) {
@@ -51,7 +50,7 @@
     private fun reason(worker: WorkerState, command: Command): String {
         val report = worker.tasks.firstOrNull { it.task == command.task && it.attempt == command.attempt }
         return when (command) {
-            is Command.Start -> if (worker.placements[command.task]?.sentInResponse == true) "sent before" else "placed"
+            is Command.Start -> "placed, not reported yet"
             is Command.Stop -> "grace ${command.grace}, reported ${report?.phase ?: "nothing"}"
             is Command.Reap -> "exited with ${report?.cause}"
         }
--- a/src/main/kotlin/org/elderhitch/heartbeat/CommandPlanner.kt
+++ b/src/main/kotlin/org/elderhitch/heartbeat/CommandPlanner.kt
@@ -17,8 +17,6 @@
     /** The fencing tokens of this term. */
     private val tokens: TokenRange,
 ) {
-    private val commandLog = CommandLog()
-
     /**
      * Plans the commands for the response to a heartbeat, which has to be sent with the worker's token as it is
      * afterwards: stops, then starts, then reaps. The exited record of a task that is started again is reaped before
@@ -29,12 +27,14 @@
      */
     fun planResponse(worker: WorkerState, now: MonotonicInstant, terminalStops: List<Command>): List<Command> {
         table.undelivered.remove(worker)
-        raiseTokenIfNeeded(worker, now)
-        val commands = ArrayList(terminalStops)
         val placements = worker.placements.values.toList()
-        for (placement in placements) placement.stopGrace?.let { grace -> addStop(placement, grace, commands) }
         val starting = placements.filter { isStartDue(it, now) }
-        val (reapedFirst, reapedLast) = reaps(worker).partition { reap -> starting.any { it.task == reap.task } }
+        val disposable = worker.tasks.filter(::isDisposable)
+        raiseTokenIfNeeded(worker, starting, disposable, now)
+        val commands = ArrayList(terminalStops)
+        for (placement in placements) placement.stopGrace?.let { grace -> addStop(placement, grace, commands) }
+        val startingTasks = starting.mapTo(HashSet()) { it.task }
+        val (reapedFirst, reapedLast) = reaps(worker, disposable).partition { it.task in startingTasks }
         commands.addAll(reapedFirst)
         for (placement in starting) addStart(placement, now, commands)
         commands.addAll(reapedLast)
@@ -47,17 +47,19 @@
      * Raises the worker's token if the response is to make the worker forget an attempt whose direct start may be
      * repeated: the worker adopts the token before it executes the commands, and refuses the repeat from then on.
      */
-    private fun raiseTokenIfNeeded(worker: WorkerState, now: MonotonicInstant) {
+    private fun raiseTokenIfNeeded(
+        worker: WorkerState,
+        starting: List<Placement>,
+        disposable: List<TaskStatus>,
+        now: MonotonicInstant,
+    ) {
+        val forgetsRepeatable = disposable.any { mayBeRepeated(worker, it) } || starting.any(::replacesRepeatable)
         // A request in transit would be refused.
-        if (worker.commandInFlight || !forgetsRepeatable(worker, now)) return
+        if (!forgetsRepeatable || worker.commandInFlight) return
         worker.raiseToken(tokens.after(worker.token) ?: return)
         ledger.record(ActionKind.RAISE_TOKEN, 1, now)
     }
 
-    private fun forgetsRepeatable(worker: WorkerState, now: MonotonicInstant): Boolean =
-        worker.tasks.any { isDisposable(it) && mayBeRepeated(worker, it) } ||
-            worker.placements.values.any { isStartDue(it, now) && replacesRepeatable(it) }
-
     /**
      * Returns the stops for all tasks on the worker whose job is known to be terminal, both [reported] ones and those
      * that the table places there. Every response must contain them: a terminal state is permanent, and a worker that
@@ -167,8 +169,8 @@
         }
     }
 
-    private fun reaps(worker: WorkerState): List<Command> =
-        worker.tasks.filter { isDisposable(it) && !mayBeRepeated(worker, it) }.map { Command.Reap(it.task, it.attempt) }
+    private fun reaps(worker: WorkerState, disposable: List<TaskStatus>): List<Command> =
+        disposable.filterNot { mayBeRepeated(worker, it) }.map { Command.Reap(it.task, it.attempt) }
 
     /** Whether the worker's record of the task is not needed any more. */
     private fun isDisposable(task: TaskStatus): Boolean {
@@ -208,12 +210,12 @@
     private fun mayStartDirectly(placement: Placement): Boolean {
         val worker = placement.worker
         val isKnownThere = worker.tasks.any { it.task == placement.task }
-        return !isKnownThere && !replacesRepeatable(placement) && tokens.after(worker.token) != null
+        return !isKnownThere && !replacesRepeatable(placement) && worker.token < tokens.last
     }
 
     private fun recordIssued(worker: WorkerState, commands: List<Command>, path: CommandPath, now: MonotonicInstant) {
         for (command in commands) {
-            commandLog.issued(worker, command, path)
+            CommandLog.issued(worker, command, path)
             when (command) {
                 is Command.Start -> ledger.recordStart(command.task, now)
                 is Command.Stop -> ledger.recordStop(command.task, isStopRequested(worker, command), now)
--- a/src/main/kotlin/org/elderhitch/heartbeat/WorkerClient.kt
+++ b/src/main/kotlin/org/elderhitch/heartbeat/WorkerClient.kt
@@ -34,7 +34,7 @@
         }
 
     private suspend fun deliver(request: DirectCommands): CommandOutcome =
-        when (val delivery = deliverCommands(request.address, request.token, request.agentEpoch, request.commands)) {
+        when (val delivery = deliverCommands(request)) {
             is Delivery.Answered -> commandOutcome(delivery.response)
             Delivery.NotSent -> CommandOutcome.Unreachable
             Delivery.Unknown -> CommandOutcome.Unknown
@@ -47,9 +47,9 @@
     }
 
     /**
-     * Requests the state of the worker at [at], and announces [token] if the worker has seen only lower ones. The outcome
-     * then holds the worker's state after the announcement. A worker counts as unreachable only after two failed
-     * connections, since a single lost packet delays a connection by a second.
+     * Requests the state of the worker at [at], and announces [token] if the worker has seen only lower ones. The
+     * outcome then holds the worker's state after the announcement. A worker counts as unreachable only after two
+     * failed connections, since a single lost packet delays a connection by a second.
      */
     public suspend fun probe(at: Address, token: FencingToken, maySendCommands: () -> Boolean): CommandOutcome =
         probePermits.withPermit {
@@ -76,7 +76,9 @@
         maySendCommands: () -> Boolean,
     ): CommandOutcome {
         if (inspected.heartbeat.token >= token || !maySendCommands()) return inspected
-        val delivery = deliverCommands(at, token, inspected.heartbeat.sequence.agentEpoch, emptyList())
+        val agentEpoch = inspected.heartbeat.sequence.agentEpoch
+        val delivery =
+            deliverCommands(DirectCommands(inspected.heartbeat.machine, at, agentEpoch, token, emptyList()))
         val accepted = delivery is Delivery.Answered && delivery.response.status == OK
         return if (accepted) decodeReply(delivery.response.body) else inspected
     }
@@ -84,14 +86,9 @@
     private suspend fun deliverInspection(at: Address): Delivery =
         transport.deliver(at, "GET", INSPECT_PATH, null, PROBE_CONNECT_TIMEOUT, REQUEST_TIMEOUT)
 
-    private suspend fun deliverCommands(
-        to: Address,
-        token: FencingToken,
-        agentEpoch: Long,
-        commands: List<Command>,
-    ): Delivery {
-        val body = HeartbeatCodec.encodeDirect(token, agentEpoch, commands)
-        return transport.deliver(to, "POST", COMMANDS_PATH, body, CONNECT_TIMEOUT, REQUEST_TIMEOUT)
+    private suspend fun deliverCommands(request: DirectCommands): Delivery {
+        val body = HeartbeatCodec.encodeDirect(request.token, request.agentEpoch, request.commands)
+        return transport.deliver(request.address, "POST", COMMANDS_PATH, body, CONNECT_TIMEOUT, REQUEST_TIMEOUT)
     }
 
     private fun decodeReply(body: ByteArray): CommandOutcome = try {
--- a/src/main/kotlin/org/elderhitch/lab/FaultInjector.kt
+++ b/src/main/kotlin/org/elderhitch/lab/FaultInjector.kt
@@ -15,7 +15,8 @@
     private val log = LoggerFactory.getLogger("elderhitch.lab")
     private val random = Random(seed xor SEED_SALT)
     private val network = cluster.network
-    private val messageFaults = MessageFaultInjector(seed, cluster, random)
+    private val messageFaults = MessageFaultInjector(cluster, random)
+    private val repeats = RepeatFaults(seed, cluster)
     private val cloud = cluster.platform.cloud
     private val down = HashSet<String>()
     private var stateOutages = 0
@@ -32,9 +33,7 @@
         when (fault.kind) {
             FaultKind.HANG -> hang(affectedWorkers(fault), fault.lasts)
             FaultKind.DIE -> killMachines(fault)
-            FaultKind.SPOT -> cloud.machines().filter {
-                it.spot && fault.affectsNext(random)
-            }.forEach { cloud.remove(it.id) }
+            FaultKind.SPOT -> removeSpotMachines(fault)
             FaultKind.SLOW_BOOT -> changeBootTime(fault) { 1 + random.nextDouble() * fault.share }
             FaultKind.FAST_BOOT -> changeBootTime(fault) { FAST_BOOT_TIME / StormLab.BOOT }
             FaultKind.ZONE -> cutZone(fault)
@@ -53,6 +52,8 @@
             FaultKind.ODD -> repeatFor(fault.lasts, ODD_REQUEST_INTERVAL) { scope.launch { users.sendOddRequest() } }
             FaultKind.CALLED_OFF -> withdrawRunning(scope, fault)
             FaultKind.SWARM -> repeatFor(fault.lasts, SWARM_INTERVAL) { users.submitOneTaskJob(scope) }
+            FaultKind.REPEATS -> repeats.repeatRequests(fault)
+            FaultKind.TASK_FAILURES -> repeats.failTasks(fault)
             else -> messageFaults.inject(fault)
         }
     }
@@ -69,6 +70,9 @@
     private fun killMachines(fault: Fault) =
         cloud.machines().filter { it.up && fault.affectsNext(random) }.forEach { cluster.platform.kill(it.id) }
 
+    private fun removeSpotMachines(fault: Fault) =
+        cloud.machines().filter { it.spot && fault.affectsNext(random) }.forEach { cloud.remove(it.id) }
+
     private suspend fun withdrawAtEnd(fault: Fault) =
         fault.takeEffect({ users.withdrawAtEndShare = fault.share }) { users.withdrawAtEndShare = 0.0 }
 
--- a/src/main/kotlin/org/elderhitch/lab/MessageFaultInjector.kt
+++ b/src/main/kotlin/org/elderhitch/lab/MessageFaultInjector.kt
@@ -1,6 +1,5 @@
 package org.elderhitch.lab
 
-import kotlinx.coroutines.delay
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -10,9 +9,8 @@
  * Injects the faults of messages between machines, controllers and the state service. Each ends before its call of
  * [inject] returns.
  */
-internal class MessageFaultInjector(seed: Long, private val cluster: SimulatedCluster, private val random: Random) {
+internal class MessageFaultInjector(private val cluster: SimulatedCluster, private val random: Random) {
     private val network = cluster.network
-    private val repeats = RepeatFaults(seed, cluster)
 
     suspend fun inject(fault: Fault) {
         when (fault.kind) {
@@ -26,8 +24,6 @@
             FaultKind.COPIES -> lateCopies(fault)
             FaultKind.KEPT_COPIES -> keptCopies(fault)
             FaultKind.SLOW_STATE -> slowState(fault)
-            FaultKind.REPEATS -> repeats.repeatRequests(fault)
-            FaultKind.TASK_FAILURES -> repeats.failTasks(fault)
             else -> error("${fault.kind} is not a message fault")
         }
     }
@@ -61,35 +57,31 @@
     private fun randomAnswerLoss(fault: Fault): TransactionOutcome =
         if (fault.affectsNext(random)) TransactionOutcome.AnswerLost else TransactionOutcome.Answered
 
-    private suspend fun slowReports(fault: Fault) {
-        network.slowReports =
-            { if (fault.affectsNext(random)) random.nextInt(100, 45_000).milliseconds else Duration.ZERO }
-        delay(fault.lasts)
-        network.slowReports = { Duration.ZERO }
-    }
+    private suspend fun slowReports(fault: Fault) =
+        fault.takeEffect({ network.slowReports = { delayIfAffected(fault, 100, 45_000) ?: Duration.ZERO } }) {
+            network.slowReports = { Duration.ZERO }
+        }
 
-    private suspend fun lateCommands(fault: Fault) {
+    private suspend fun lateCommands(fault: Fault) = fault.takeEffect({
         network.lateCommands = { if (fault.affectsNext(random)) random.nextInt(1, 60).seconds else null }
-        delay(fault.lasts)
-        network.lateCommands = { null }
-    }
+    }) { network.lateCommands = { null } }
 
-    private suspend fun lateCopies(fault: Fault) {
-        network.lateCopies = { if (fault.affectsNext(random)) random.nextInt(2_000, 60_000).milliseconds else null }
-        delay(fault.lasts)
-        network.lateCopies = { null }
-    }
+    private suspend fun lateCopies(fault: Fault) =
+        fault.takeEffect({ network.lateCopies = { delayIfAffected(fault, 2_000, 60_000) } }) {
+            network.lateCopies = { null }
+        }
 
-    private suspend fun keptCopies(fault: Fault) {
-        network.retainsHeartbeatCopy = { fault.affectsNext(random) }
-        delay(fault.lasts)
-        network.retainsHeartbeatCopy = { false }
-    }
+    private suspend fun keptCopies(fault: Fault) =
+        fault.takeEffect({ network.retainsHeartbeatCopy = { fault.affectsNext(random) } }) {
+            network.retainsHeartbeatCopy = { false }
+        }
 
-    private suspend fun slowState(fault: Fault) {
-        network.slowState =
-            { if (fault.affectsNext(random)) random.nextInt(100, 4_000).milliseconds else Duration.ZERO }
-        delay(fault.lasts)
-        network.slowState = { Duration.ZERO }
-    }
+    private suspend fun slowState(fault: Fault) =
+        fault.takeEffect({ network.slowState = { delayIfAffected(fault, 100, 4_000) ?: Duration.ZERO } }) {
+            network.slowState = { Duration.ZERO }
+        }
+
+    /** Draws a delay for the next message, null if the fault doesn't affect it. */
+    private fun delayIfAffected(fault: Fault, fromMs: Int, untilMs: Int): Duration? =
+        if (fault.affectsNext(random)) random.nextInt(fromMs, untilMs).milliseconds else null
 }
--- a/src/main/kotlin/org/elderhitch/lab/Network.kt
+++ b/src/main/kotlin/org/elderhitch/lab/Network.kt
@@ -209,23 +209,15 @@
         return answer
     }
 
-    private fun hopOf(routed: RoutedRequest): Hop = when {
-        routed.machine != null -> Hop.HEARTBEAT
-        routed.toState -> Hop.STATE
-        routed.host == "cloud" -> Hop.CLOUD
-        routed.from in nodes -> Hop.PEER
-        else -> Hop.USER
-    }
-
     /** Repeats an answered request at whatever process has the address then. */
     private fun repeatLater(routed: RoutedRequest, answer: Response?) {
         if (answer == null) return
-        repeater.schedule(hopOf(routed), routed.request) {
+        repeater.schedule(routed.request) {
             handlers[routed.to.text]?.let { handleAt(routed.host, it, routed.request) } != null
         }
     }
 
-    private fun repeatLater(command: Command) = repeater.schedule(Hop.COMMANDS, command.request) {
+    private fun repeatLater(command: Command) = repeater.schedule(command.request) {
         workerAt(command.to)?.handle(command.request) != null
     }
 
--- a/src/main/kotlin/org/elderhitch/lab/RepeatFaults.kt
+++ b/src/main/kotlin/org/elderhitch/lab/RepeatFaults.kt
@@ -1,6 +1,5 @@
 package org.elderhitch.lab
 
-import kotlinx.coroutines.delay
 import kotlin.math.pow
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -16,18 +15,18 @@
 
     suspend fun repeatRequests(fault: Fault) {
         val repeater = cluster.network.repeater
-        repeater.delays = { _, _ -> if (fault.affectsNext(random)) listOf(randomDelay()) else emptyList() }
-        delay(fault.lasts)
-        repeater.delays = { _, _ -> emptyList() }
+        fault.takeEffect({
+            repeater.delays = { if (fault.affectsNext(random)) listOf(randomDelay()) else emptyList() }
+        }) { repeater.delays = { emptyList() } }
     }
 
     suspend fun failTasks(fault: Fault) {
         val affected = HashMap<String, Boolean>()
-        cluster.failing = { task, _ ->
-            cluster.startsOf[task] == 1 && affected.getOrPut(task) { fault.affectsNext(random) }
-        }
-        delay(fault.lasts)
-        cluster.failing = { _, _ -> false }
+        fault.takeEffect({
+            cluster.failing = { task, _ ->
+                cluster.startsOf[task] == 1 && affected.getOrPut(task) { fault.affectsNext(random) }
+            }
+        }) { cluster.failing = { _, _ -> false } }
     }
 
     /** As likely below a few seconds as above: a process may be back within a second. */
--- a/src/main/kotlin/org/elderhitch/lab/RequestRepeater.kt
+++ b/src/main/kotlin/org/elderhitch/lab/RequestRepeater.kt
@@ -6,31 +6,10 @@
 import org.elderhitch.http.Request
 import kotlin.time.Duration
 
-/** Who sends a request to whom. */
-internal enum class Hop {
-    /** A worker's heartbeat to a controller. */
-    HEARTBEAT,
-
-    /** A controller's commands to a worker. */
-    COMMANDS,
-
-    /** A request between controllers. */
-    PEER,
-
-    /** A controller's request to the state service. */
-    STATE,
-
-    /** A controller's request to the cloud. */
-    CLOUD,
-
-    /** A user's request to a controller. */
-    USER,
-}
-
 /** Delivers requests that were executed and answered once more, as networks and proxies may. */
 internal class RequestRepeater(private val simulationScope: CoroutineScope) {
     /** Delays after which a request that was executed and answered arrives once more; empty: it does not. */
-    var delays: (Hop, Request) -> List<Duration> = { _, _ -> emptyList() }
+    var delays: (Request) -> List<Duration> = { emptyList() }
 
     /** Number of repeats that reached a receiver. */
     var executed = 0
@@ -41,9 +20,9 @@
      *
      * @param execute delivers the request, and returns false if nobody listens at the address any more.
      */
-    fun schedule(hop: Hop, request: Request, execute: suspend () -> Boolean) {
+    fun schedule(request: Request, execute: suspend () -> Boolean) {
         if (request.method == "GET") return
-        for (by in delays(hop, request)) {
+        for (by in delays(request)) {
             simulationScope.launch {
                 delay(by)
                 if (execute()) executed++
--- a/src/main/kotlin/org/elderhitch/leadership/FencingToken.kt
+++ b/src/main/kotlin/org/elderhitch/leadership/FencingToken.kt
@@ -21,11 +21,10 @@
  * a later term are higher.
  */
 public data class TokenRange(val first: FencingToken, val last: FencingToken) {
-    public operator fun contains(token: FencingToken): Boolean = token in first..last
+    public operator fun contains(token: FencingToken): Boolean = token >= first && token <= last
 
-    /** Returns the token after [token], or null if [token] is the last one of the range. */
-    public fun after(token: FencingToken): FencingToken? =
-        if (token < last) FencingToken(maxOf(token, first).number + 1) else null
+    /** Returns the token after [token], which is of this range, or null if [token] is the last one. */
+    public fun after(token: FencingToken): FencingToken? = if (token < last) FencingToken(token.number + 1) else null
 
     public companion object {
         /** The number of tokens in a term: enough to raise one worker's token every 3 s for nine days. */
@@ -33,8 +32,5 @@
 
         /** The tokens of a term that this version claims. */
         public fun of(term: Term): TokenRange = TokenRange(term.firstToken, FencingToken(term.number + SIZE - 1))
-
-        /** The only token of a term that a version without ranges has claimed. */
-        public fun ofSingleToken(term: Term): TokenRange = TokenRange(term.firstToken, term.firstToken)
     }
 }
--- a/src/main/kotlin/org/elderhitch/leadership/LeadershipState.kt
+++ b/src/main/kotlin/org/elderhitch/leadership/LeadershipState.kt
@@ -38,7 +38,7 @@
         val claimedAt: MonotonicInstant,
     ) : LeadershipState {
         /** The fencing tokens of this term. */
-        public val tokens: TokenRange get() = TokenRange.of(term)
+        public val tokens: TokenRange = TokenRange.of(term)
 
         /** The lowest number that a later term can have. */
         public val nextTerm: Term get() = Term(tokens.last.number + 1)
--- a/src/test/kotlin/org/elderhitch/app/RepeatedCommandsTest.kt
+++ b/src/test/kotlin/org/elderhitch/app/RepeatedCommandsTest.kt
@@ -2,7 +2,6 @@
 
 import kotlinx.coroutines.delay
 import org.elderhitch.lab.CutMode
-import org.elderhitch.lab.Hop
 import org.elderhitch.lab.SimulatedCluster
 import org.elderhitch.lab.SimulationSettings
 import kotlin.test.Test
@@ -20,7 +19,7 @@
 
     private fun CheckedCluster.repeatCommandsAfter(vararg delaySeconds: Int) {
         val delays = delaySeconds.map { it.seconds }
-        cluster.network.repeater.delays = { hop, _ -> if (hop == Hop.COMMANDS) delays else emptyList() }
+        cluster.network.repeater.delays = { if (it.path == COMMANDS_PATH) delays else emptyList() }
     }
 
     /** Makes the first start of each of [tasks] fail. Returns the machine on which each has failed. */
@@ -177,9 +176,15 @@
         startServices()
         val reversedAt = cluster.clock.now() + 60.seconds
         var sent = 0
-        cluster.network.repeater.delays = { hop, _ ->
+        cluster.network.repeater.delays = { request ->
             val remaining = reversedAt - cluster.clock.now()
-            if (hop == Hop.COMMANDS && remaining.isPositive()) repeatsAround(remaining, sent++) else emptyList()
+            if (request.path == COMMANDS_PATH &&
+                remaining.isPositive()
+            ) {
+                repeatsAround(remaining, sent++)
+            } else {
+                emptyList()
+            }
         }
         cluster.failFirstStarts("req-1/1", "req-1/5")
         submit("req-1", "array", 8, 12.0)
@@ -285,6 +290,8 @@
     }
 
     private companion object {
+        const val COMMANDS_PATH = "/do"
+
         /** More than a scenario sends. */
         const val MAX_COMMANDS = 1000
         val STEP = 1.milliseconds
--- a/src/test/kotlin/org/elderhitch/delegates/LeaseDelegationTest.kt
+++ b/src/test/kotlin/org/elderhitch/delegates/LeaseDelegationTest.kt
@@ -35,7 +35,7 @@
     private val timeouts = LeadershipTimeouts(4.seconds, 14.seconds, 5.seconds, 800.milliseconds)
 
     private fun grantOf(term: Term, until: MonotonicInstant) =
-        DelegationGrant(term, TokenRange.ofSingleToken(term), peer, until)
+        DelegationGrant(TokenRange(term.firstToken, term.firstToken), peer, until)
 
     private fun leader(renewedAt: MonotonicInstant, term: Long = 2, previousLeader: PreviousLeader? = null) =
         LeadershipState.Leader(
@@ -162,7 +162,7 @@
     fun `a lease delegate answers a worker with the token that the leader has raised for it`() {
         val delegate = LeaseDelegate(zone)
         val tokens = TokenRange(FencingToken(30), FencingToken(39))
-        delegate.accept(DelegationGrant(Term(30), tokens, peer, now + 10.seconds))
+        delegate.accept(DelegationGrant(tokens, peer, now + 10.seconds))
         val answered = listOf(12L, 30L, 34L, 39L, 40L).associateWith { seen ->
             delegate.responseToken(zone, FencingToken(seen), { true }, now)?.number
         }
--- a/src/test/kotlin/org/elderhitch/lab/StormLabTest.kt
+++ b/src/test/kotlin/org/elderhitch/lab/StormLabTest.kt
@@ -243,34 +243,10 @@
             listOf(
                 Fault(FaultKind.TASK_FAILURES, 0.seconds, 45.seconds, 0.04),
                 Fault(FaultKind.CRASH, 47_703.milliseconds, 938.milliseconds, target = Fault.LEADER),
-                Fault(
-                    FaultKind.CRASH_ALL,
-                    52_309.milliseconds,
-                    668.milliseconds,
-                    target = Fault.LEADER,
-                    mode = CutMode.RESET,
-                ),
-                Fault(
-                    FaultKind.SLOW_STATE,
-                    52_834.milliseconds,
-                    4364.milliseconds,
-                    0.4,
-                    target = Fault.LEADER,
-                ),
-                Fault(
-                    FaultKind.REFUSED,
-                    57_538.milliseconds,
-                    1532.milliseconds,
-                    target = Fault.LEADER,
-                    mode = CutMode.RESET,
-                ),
-                Fault(
-                    FaultKind.OUTAGE,
-                    59_544.milliseconds,
-                    20_308.milliseconds,
-                    target = Fault.LEADER,
-                    mode = CutMode.RESET,
-                ),
+                Fault(FaultKind.CRASH_ALL, 52_309.milliseconds, 668.milliseconds),
+                Fault(FaultKind.SLOW_STATE, 52_834.milliseconds, 4364.milliseconds, 0.4),
+                Fault(FaultKind.REFUSED, 57_538.milliseconds, 1532.milliseconds, target = Fault.LEADER),
+                Fault(FaultKind.OUTAGE, 59_544.milliseconds, 20_308.milliseconds),
             ),
         ),
     )
