--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0: without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -d review/lib-2/.build ] || { echo "run review/build-2.sh first"; exit 2; }
-exec java -Xmx256m -Droot="$PWD" -cp review/lib-2/.build ExactlyAtLimit review/7
+exec java -Xmx256m -Droot="$PWD" -cp review/lib-2/.build MissingField review/7
--- a/review/lib-2/Site.java
+++ b/review/lib-2/Site.java
@@ -283,6 +283,17 @@
         return r == null || r.status != 200 ? null : Json.object(r.body);
     }
 
+    /** Waits until the task has started for the first time. */
+    void awaitPresentOnce(String task, int seconds) throws InterruptedException {
+        for (int i = 0; i < seconds * 20; i++) {
+            synchronized (present) {
+                if (starts.containsKey(task)) return;
+            }
+            Thread.sleep(50);
+        }
+        throw new NotRun(task + " was not started");
+    }
+
     /** Waits until as many tasks of the job are on machines. */
     void awaitPresent(String job, int tasks, int seconds) throws InterruptedException {
         for (int i = 0; i < seconds * 20; i++) {
--- a/review/lib-2/Worker.java
+++ b/review/lib-2/Worker.java
@@ -77,6 +77,8 @@
     volatile boolean hangs;
     /** Direct requests are held up this long before they are carried out, unanswered; 0 for none. */
     volatile long lateCommandsMs;
+    /** Every task that starts here fails. */
+    volatile boolean fails;
     /** How long an image takes to fetch. */
     volatile long fetchMs = 300;
     /** The last report that was sent. */
@@ -158,6 +160,7 @@
                 changed = true;
                 notifyAll();
             }
+            if (task.standing.equals("running") && fails) exit(task, "error");
             if (task.standing.equals("running") && now >= task.done) exit(task, "done");
         }
     }
