Log when delegations are accepted and revoked, and when earlier terms have stopped

A node that renews leases with a delegation logged that it answers, but not when it took or lost the grant, and a leader didn't log from when on it counts the leases of earlier terms.

Now a revoked delegation and the confirmation of all controllers have an info line, and each grant that is received has a debug line. No decision changes: LeaseDelegate.accept also returns whether it kept the grant.

--- a/src/main/kotlin/org/elderhitch/delegates/LeaseDelegate.kt
+++ b/src/main/kotlin/org/elderhitch/delegates/LeaseDelegate.kt
@@ -25,10 +25,15 @@
     public var grant: DelegationGrant? = null
         private set
 
-    /** Keeps the grant of the highest term and, within that term, the longest one: any other grant was delayed. */
-    public fun accept(offered: DelegationGrant) {
+    /**
+     * Keeps the grant of the highest term and, within that term, the longest one: any other grant was delayed. Returns
+     * whether [offered] is kept.
+     */
+    public fun accept(offered: DelegationGrant): Boolean {
         val current = grant
-        if (current == null || supersedes(offered, current)) grant = offered
+        if (current != null && !supersedes(offered, current)) return false
+        grant = offered
+        return true
     }
 
     private fun supersedes(offered: DelegationGrant, current: DelegationGrant): Boolean =
--- a/src/main/kotlin/org/elderhitch/delegates/ZoneDelegates.kt
+++ b/src/main/kotlin/org/elderhitch/delegates/ZoneDelegates.kt
@@ -110,9 +110,20 @@
     }
 
     /** Accepts a delegation that a leader has granted to this node. */
-    fun acceptGrant(grant: DelegationGrant) = delegate.accept(grant)
+    fun acceptGrant(grant: DelegationGrant) {
+        val isAccepted = delegate.accept(grant)
+        if (!log.isDebugEnabled) return
+        log.debug("delegation received term={} leader={} accepted={}", grant.term, grant.leader, isAccepted)
+    }
 
-    fun observeTerm(term: Term) = delegate.observeTerm(term)
+    /** Revokes a delegation of an earlier term than [term], which this node has learned of. */
+    fun observeTerm(term: Term) {
+        val revoked = delegate.grant
+        delegate.observeTerm(term)
+        if (revoked != null && delegate.grant == null) {
+            log.info("delegation revoked zone={} term={} known_term={}", ownZone, revoked.term, term)
+        }
+    }
 
     /**
      * Starts the check for a partition before the first heartbeat needs its result, because a worker whose heartbeat is
--- a/src/main/kotlin/org/elderhitch/recovery/Takeover.kt
+++ b/src/main/kotlin/org/elderhitch/recovery/Takeover.kt
@@ -91,7 +91,11 @@
      * most one lease duration from now.
      */
     fun recordPreviousLeadersStopped() {
-        if (!settled) earlierLeasesEnd = minOf(earlierLeasesEnd, leases.expiredAfter(clock.now()))
+        val now = clock.now()
+        val leasesEnd = leases.expiredAfter(now)
+        if (settled || leasesEnd >= earlierLeasesEnd) return
+        earlierLeasesEnd = leasesEnd
+        log.info("earlier terms stopped term={} leases_over_in_ms={}", term, (leasesEnd - now).inWholeMilliseconds)
     }
 
     /** Settles the takeover if possible. Returns whether this call settled it. */
