A node reports a term to its peers only once its answers to workers respect it

The new leader counts the leases of earlier terms from the report. That was right only by the order of the event loop, in which the message to the scheduler comes before any heartbeat that arrives after the report. The reported term of a follower could also fall again, from the highest term seen to that of the stored leader.

Change: the scheduler publishes the highest term that its answers respect, after it has revoked earlier grants and stopped acting as leader, and a follower reports that one. It never falls.

--- a/src/main/kotlin/org/elderhitch/app/Controller.kt
+++ b/src/main/kotlin/org/elderhitch/app/Controller.kt
@@ -279,6 +279,8 @@
     private fun clusterPorts(): ClusterPorts = object : ClusterPorts {
         override fun leadershipState(): LeadershipState = leadership.leadershipState.value
 
+        override fun respectedTerm(): Term = schedulerWiring.respectedTerm
+
         override fun reachesStateService(): Boolean = stateConnection.isReachable()
 
         override fun runningTasks(): Map<JobId, Int> = schedulerWiring.runningTasks
--- a/src/main/kotlin/org/elderhitch/app/SchedulerWiring.kt
+++ b/src/main/kotlin/org/elderhitch/app/SchedulerWiring.kt
@@ -14,6 +14,7 @@
 import org.elderhitch.leadership.Leadership
 import org.elderhitch.leadership.LeadershipMessage
 import org.elderhitch.leadership.LeadershipState
+import org.elderhitch.leadership.Term
 import org.elderhitch.scheduler.SchedulerPorts
 import org.elderhitch.settings.NodeName
 import org.elderhitch.store.Revision
@@ -35,6 +36,14 @@
     var workerActionCounts: Map<String, Any?> = emptyMap()
         private set
 
+    /** The highest term that the scheduler has published as respected by its answers to workers. */
+    var respectedTerm: Term = Term.NONE
+        private set
+
+    override fun publishRespectedTerm(term: Term) {
+        respectedTerm = maxOf(respectedTerm, term)
+    }
+
     override fun publishStatistics(counts: Map<String, Any?>) {
         workerActionCounts = counts
     }
--- a/src/main/kotlin/org/elderhitch/cluster/ClusterPorts.kt
+++ b/src/main/kotlin/org/elderhitch/cluster/ClusterPorts.kt
@@ -17,6 +17,12 @@
     /** This node's current role. */
     public fun leadershipState(): LeadershipState
 
+    /**
+     * The highest term that this node's answers to workers respect: from now on it answers none as the leader or as a
+     * lease delegate of an earlier term. [leadershipState] may be ahead of it.
+     */
+    public fun respectedTerm(): Term
+
     /** Whether this node receives responses from the state service. */
     public fun reachesStateService(): Boolean
 
--- a/src/main/kotlin/org/elderhitch/cluster/PeerHeartbeats.kt
+++ b/src/main/kotlin/org/elderhitch/cluster/PeerHeartbeats.kt
@@ -70,11 +70,13 @@
     private fun ownHeartbeat(): PeerHeartbeat {
         val leadershipState = ports.leadershipState()
         val isLeader = leadershipState is LeadershipState.Leader
+        // Peers rely on that a node which reports a term answers no worker in an earlier one.
+        val term = if (isLeader) leadershipState.term else ports.respectedTerm()
         val runningTasks = if (isLeader) ports.runningTasks() else emptyMap()
         return PeerHeartbeat(
             node = self.node.text,
             run = self.incarnation.text,
-            term = leadershipState.term.number,
+            term = term.number,
             leading = isLeader,
             reachesState = ports.reachesStateService(),
             runningTasks = runningTasks.entries.associate { it.key.text to it.value },
--- a/src/main/kotlin/org/elderhitch/cluster/PeerMessages.kt
+++ b/src/main/kotlin/org/elderhitch/cluster/PeerMessages.kt
@@ -15,7 +15,7 @@
     @ProtoNumber(1) val node: String,
     /** The incarnation of the node. */
     @ProtoNumber(2) val run: String,
-    /** The highest term that the node knows of. */
+    /** The term of a leader; of a follower, the highest term that its answers to workers respect. */
     @ProtoNumber(3) val term: Long,
     @ProtoNumber(4) val leading: Boolean,
     /** Whether the node receives responses from the state service. */
--- a/src/main/kotlin/org/elderhitch/scheduler/LeadershipUpdateHandler.kt
+++ b/src/main/kotlin/org/elderhitch/scheduler/LeadershipUpdateHandler.kt
@@ -34,6 +34,7 @@
         state.leadershipState = next
         // Also as the leader: a grant of an earlier term may arrive at any time, and be found when this term has ended.
         delegates.observeTerm(next.term)
+        services.ports.publishRespectedTerm(next.term)
         if (next !is LeadershipState.Leader) return
         if (previousTerm?.number == next.term) previousTerm.renew(next) else beginTerm(next)
     }
--- a/src/main/kotlin/org/elderhitch/scheduler/SchedulerPorts.kt
+++ b/src/main/kotlin/org/elderhitch/scheduler/SchedulerPorts.kt
@@ -10,6 +10,7 @@
 import org.elderhitch.jobs.JobId
 import org.elderhitch.leadership.LeadershipMessage
 import org.elderhitch.leadership.LeadershipState
+import org.elderhitch.leadership.Term
 import org.elderhitch.settings.NodeName
 import org.elderhitch.store.Revision
 
@@ -70,8 +71,11 @@
     public fun saveImageHints(leader: LeadershipState.Leader, images: Map<MachineId, Map<Image, Double>>)
 }
 
-/** Statistics for `/status` and for clients that watch jobs. */
+/** The scheduler's state for other components: statistics, and the term that its answers to workers respect. */
 public interface StatusPort {
+    /** From now on no worker is answered in a term before [term], neither as its leader nor as a lease delegate. */
+    public fun publishRespectedTerm(term: Term)
+
     /** Publishes the number of running tasks of each job. */
     public fun publishRunningCounts(counts: Map<JobId, Int>)
 
