Simulated network: requests to workers' own addresses have a class of their own

Change: CommandDelivery, with its typed request; Network keeps the faults that tests set. Same order of random draws and delays.

--- a/src/main/kotlin/org/elderhitch/lab/Network.kt
+++ b/src/main/kotlin/org/elderhitch/lab/Network.kt
@@ -48,15 +48,6 @@
     val isWatch: Boolean = toState && request.path == "/watch"
 }
 
-/** A command to a worker's address, with the connection and response timeouts of its caller. */
-private class Command(
-    val from: String,
-    val to: Address,
-    val request: Request,
-    val connect: Duration,
-    val timeout: Duration,
-)
-
 /**
  * The network of a simulated cluster. Hosts are nodes (`n0`), machines (`host-000001`), `state`, `cloud` and `user`. A
  * request across a partition gets no answer; where packets are held, it may be executed when the partition is over.
@@ -127,8 +118,9 @@
     /** Numbers of executed copies of reports, and of executed late commands and transactions. */
     var copies = 0
         private set
-    var lateDeliveries = 0
-        private set
+    val lateDeliveries: Int get() = lateTransactions + commandDelivery.lateCommands
+    private var lateTransactions = 0
+    private val commandDelivery = CommandDelivery(this, simulationScope, random, workerAt)
 
     /** Additional latency of the answer to a command that is executed at once. */
     var slowReplies: () -> Duration = { Duration.ZERO }
@@ -166,7 +158,8 @@
         cut.over.complete(Unit)
     }
 
-    private fun cutBetween(from: String, to: String): Cut? = cuts.firstOrNull { it.separates(from, to) }
+    /** The partition between two hosts, or null if there is none. */
+    fun cutBetween(from: String, to: String): Cut? = cuts.firstOrNull { it.separates(from, to) }
 
     /** The transport of host [from]. [machine]: set if the caller is that machine's worker. */
     fun transport(from: String, machine: String? = null): Transport = object : Transport {
@@ -177,7 +170,7 @@
             body: ByteArray?,
             connect: Duration,
             timeout: Duration,
-        ): Delivery = deliverToWorker(Command(from, to, request(method, target, body), connect, timeout))
+        ): Delivery = commandDelivery.deliver(DirectRequest(from, to, request(method, target, body), connect, timeout))
 
         override suspend fun call(
             to: Address,
@@ -221,10 +214,6 @@
         }
     }
 
-    private fun repeatLater(command: Command) = repeater.schedule(command.request) {
-        workerAt(command.to)?.handle(command.request) != null
-    }
-
     /** Whether the request is lost for another reason than a partition in [cuts]. */
     private fun isLost(routed: RoutedRequest): Boolean {
         val from = routed.from
@@ -316,72 +305,20 @@
 
             is TransactionOutcome.Late -> simulationScope.launch {
                 delay(outcome.by)
-                lateDeliveries++
+                lateTransactions++
                 state.handle(request)
             }
         }
         delay(Duration.INFINITE)
     }
 
-    /** Delivers a command to a worker's address; the answer may be lost, or the command arrive late. */
-    private suspend fun deliverToWorker(command: Command): Delivery {
-        val to = command.to
-        delay(LATENCY)
-        val cut = cutBetween(command.from, to.host)
-        if (isUnreachable(command, cut)) {
-            delay(command.connect)
-            return Delivery.NotSent
-        }
-        if (to.host in unableToReceive) {
-            delay(command.timeout)
-            return Delivery.Unknown
-        }
-        val late = lateCommands()
-        if (late == null && cut == null) return executeAtOnce(command)
-        simulationScope.launch {
-            cut?.over?.await()
-            delay(late ?: Duration.ZERO)
-            lateDeliveries++
-            workerAt(to)?.handle(command.request) ?: return@launch
-            repeatLater(command)
-        }
-        delay(command.timeout)
-        return Delivery.Unknown
-    }
-
-    /** Whether no connection to the worker exists or can be made. [cut]: the partition between it and its caller. */
-    private fun isUnreachable(command: Command, cut: Cut?): Boolean {
-        val to = command.to
-        if (workerAt(to) == null || to.host in silentWorkers || command.from to "workers" in cutPairs) return true
-        return cut != null && (cut.mode == CutMode.RESET || random.nextDouble() >= OPEN_CONNECTION_SHARE)
-    }
-
-    /** If the machine hangs, the caller times out, and the command is executed when the machine resumes. */
-    private suspend fun executeAtOnce(command: Command): Delivery {
-        val from = command.from
-        val to = command.to
-        val done = CompletableDeferred<Response>()
-        val back = slowReplies()
-        simulationScope.launch {
-            workerAt(to)?.handle(command.request)?.let {
-                repeatLater(command)
-                delay(back)
-                done.complete(it)
-            }
-        }
-        val answer = withTimeoutOrNull(command.timeout) { done.await() }
-        cutBetween(to.host, from)?.let { delay(command.timeout) }
-        onWork(from, "answer")
-        return if (answer == null || cutBetween(to.host, from) != null) Delivery.Unknown else Delivery.Answered(answer)
-    }
-
-    private companion object {
-        const val BUSY = 503
-        const val GONE = 410
+    companion object {
+        private const val BUSY = 503
+        private const val GONE = 410
 
         /** Share of the requests across a partition that use a connection opened before it. */
         const val OPEN_CONNECTION_SHARE = 0.5
         val LATENCY = 3.milliseconds
-        val REFUSED_POLL_INTERVAL = 20.milliseconds
+        private val REFUSED_POLL_INTERVAL = 20.milliseconds
     }
 }
