Plans name jobs in one place, and image hints that fit are encoded once

Cause: the log lines of plans spelled the same words three times, and image hints were encoded about log2(images) times every 10 s also where all of them fit.

Change: one function, and the whole list is tried first. The same values are logged and stored.

--- a/src/main/kotlin/org/elderhitch/fleet/FleetPlanner.kt
+++ b/src/main/kotlin/org/elderhitch/fleet/FleetPlanner.kt
@@ -119,7 +119,7 @@
             existing.size,
             existing.count { it.use == null },
             existing.count { it.use?.idleFor != null },
-            input.unplaced.map { "${it.spec.id}:${it.spec.jobClass}x${it.count}" },
+            input.unplaced.map { describe(it.spec, it.count) },
             input.headroom.map { it.tasks },
             output.provision,
             output.terminate.size,
@@ -137,11 +137,13 @@
             took.inWholeMilliseconds,
             output.steps,
             machineCount,
-            unplaced.map { "${it.spec.id}:${it.spec.jobClass}x${it.count}" },
-            headroom.map { "${it.spec.id}:${it.spec.jobClass}x${it.tasks}" },
+            unplaced.map { describe(it.spec, it.count) },
+            headroom.map { describe(it.spec, it.tasks) },
         )
     }
 
+    private fun describe(spec: JobSpec, tasks: Int): String = "${spec.id}:${spec.jobClass}x$tasks"
+
     private fun carryOut(leadership: LeadershipState.Leader, output: PlanOutput, openIntents: Int) {
         val free = maxOf(0, fleet.calls.maxOpenIntents - openIntents)
         output.provision
--- a/src/main/kotlin/org/elderhitch/tasks/ImageHints.kt
+++ b/src/main/kotlin/org/elderhitch/tasks/ImageHints.kt
@@ -67,8 +67,9 @@
     ): Map<String, Any?> {
         fun value(count: Int) = header + (IMAGES to images.take(count))
         fun fits(count: Int) = Json.bytes(value(count)).size <= maxValueBytes
+        if (fits(images.size)) return value(images.size)
         var fitting = 0
-        var tooMany = images.size + 1
+        var tooMany = images.size
         while (tooMany - fitting > 1) {
             val middle = (fitting + tooMany) / 2
             if (fits(middle)) fitting = middle else tooMany = middle
