--- a/src/test/kotlin/org/elderhitch/cluster/ReportedTermTest.kt
+++ b/src/test/kotlin/org/elderhitch/cluster/ReportedTermTest.kt
@@ -7,13 +7,12 @@
 import org.elderhitch.delegates.DelegationGrant
 import org.elderhitch.delegates.DelegationOffer
 import org.elderhitch.http.Address
-import org.elderhitch.http.Delivery
 import org.elderhitch.http.Request
 import org.elderhitch.http.Response
-import org.elderhitch.http.Transport
 import org.elderhitch.jobs.Footprint
 import org.elderhitch.jobs.JobId
 import org.elderhitch.jobs.TerminalRecord
+import org.elderhitch.lab.Network
 import org.elderhitch.leadership.Incarnation
 import org.elderhitch.leadership.LeadershipState
 import org.elderhitch.leadership.Term
@@ -24,6 +23,7 @@
 import org.elderhitch.store.Revision
 import org.elderhitch.time.MonotonicInstant
 import org.elderhitch.time.SteadyClock
+import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.time.Duration
@@ -69,28 +69,10 @@
         override suspend fun serveLeaderRequest(request: Request): Response = error("not called")
     }
 
-    private object NoTransport : Transport {
-        override suspend fun deliver(
-            to: Address,
-            method: String,
-            target: String,
-            body: ByteArray?,
-            connect: Duration,
-            timeout: Duration,
-        ): Delivery = Delivery.NotSent
-
-        override suspend fun call(
-            to: Address,
-            method: String,
-            target: String,
-            body: ByteArray?,
-            timeout: Duration,
-        ): Response? = null
-    }
-
     private suspend fun TestScope.termReportedBy(ports: FakePorts): Long {
         val clock = SteadyClock { MonotonicInstant(0) + 1000.seconds }
-        val cluster = Cluster(this, NodeName("n0"), Incarnation("run"), listOf(peer), NoTransport, clock, ports)
+        val transport = Network(this, Random(1)) { null }.transport("n0")
+        val cluster = Cluster(this, NodeName("n0"), Incarnation("run"), listOf(peer), transport, clock, ports)
         val question = PeerHeartbeat("n1", "run", term = 0, leading = false, reachesState = true)
         val body = ProtoBuf.encodeToByteArray(PeerHeartbeat.serializer(), question)
         val answer = cluster.handle(Request("POST", PeerHeartbeats.PATH, emptyMap(), body))
