A takeover waits for a machine if any intent that names it records it as up

Cause: a refused provisioning request that reached the cloud once more was granted; its machine was adopted under another intent. A copy of the write of the first intent brought that one back, and the next term got the same machine from it. Two intents named it, one of them recorded it as up, and the term after that asked only the one that it had read last. So it took the machine for never used, didn't wait for its report, and started its tasks elsewhere.

Fix: the marks of all intents count. They are written before a machine's first task and last until the machine is gone.

--- a/src/main/kotlin/org/elderhitch/fleet/MachineTracker.kt
+++ b/src/main/kotlin/org/elderhitch/fleet/MachineTracker.kt
@@ -24,12 +24,16 @@
     /** Adds the machines of all intents that earlier terms stored. */
     fun loadStored(now: MonotonicInstant) {
         intents.loadStored()
-        for (intent in intents.all) {
-            addMachines(intent, now)
-            intent.recordedUp.forEach { byId[it]?.wasUpInEarlierTerm = true }
-        }
+        intents.all.forEach { addMachines(it, now) }
+        recordedUp().forEach { byId[it]?.wasUpInEarlierTerm = true }
     }
 
+    /**
+     * The machines that any intent records as up. Two intents may name a machine: one that adopted it, and a request
+     * that was refused, sent once more by the network and then granted.
+     */
+    private fun recordedUp(): Set<MachineId> = intents.all.flatMapTo(HashSet()) { it.recordedUp }
+
     /** Adds the machines of an intent, whose ids are recorded. */
     fun addMachines(intent: ProvisioningIntent, now: MonotonicInstant) {
         intent.machines?.forEach { add(intent.market.machine(it), intent.name, now) }
@@ -56,8 +60,8 @@
         val term = fleet.term
         if (term.isInventorySent || !term.areIntentsLoaded) return
         term.isInventorySent = true
-        val (mayRunTasks, unused) =
-            byId.values.partition { it.machine.id in intents[it.intentName]?.recordedUp.orEmpty() }
+        val up = recordedUp()
+        val (mayRunTasks, unused) = byId.values.partition { it.machine.id in up }
         fleet.ports.tellScheduler(
             SchedulerMessage.InventoryLoaded(
                 leadership.term,
