--- a/src/test/kotlin/org/elderhitch/cluster/ReportedTermTest.kt
+++ b/src/test/kotlin/org/elderhitch/cluster/ReportedTermTest.kt
@@ -29,7 +29,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/** Tests which term a controller reports to its peers: they conclude from it that it answers no worker in an earlier one. */
+/** Tests the term that a controller reports: peers conclude from it that it answers no worker in an earlier one. */
 @OptIn(ExperimentalSerializationApi::class)
 class ReportedTermTest {
     private val peer = Peer(NodeName("n1"), Address("n1:81"), Zone("b"))
