--- a/src/main/kotlin/org/elderhitch/delegates/LeaseDelegate.kt
+++ b/src/main/kotlin/org/elderhitch/delegates/LeaseDelegate.kt
@@ -25,25 +25,33 @@
     public var grant: DelegationGrant? = null
         private set
 
+    /**
+     * The highest term that this node has learned of. It outlives the grant: a grant of an earlier term is void also if
+     * it arrives after the node has revoked an older one. The node may have reported the newer term by then, and its
+     * leader relies on that no lease is renewed in an earlier term any more.
+     */
+    private var highestTerm = Term.NONE
+
     /**
      * Keeps the grant of the highest term and, within that term, the longest one: any other grant was delayed. Returns
      * whether [offered] is kept.
      */
     public fun accept(offered: DelegationGrant): Boolean {
-        val current = grant
-        if (current != null && !supersedes(offered, current)) return false
+        observeTerm(offered.term)
+        if (isVoid(offered) || grant.let { it != null && offered.until <= it.until }) return false
         grant = offered
         return true
     }
 
-    private fun supersedes(offered: DelegationGrant, current: DelegationGrant): Boolean =
-        offered.term > current.term || offered.term == current.term && offered.until > current.until
-
-    /** Revokes the grant if [term] is higher than its own. */
+    /** Records that [term] exists. Grants of earlier terms are void from now on, whenever they arrive. */
     public fun observeTerm(term: Term) {
-        if (grant.let { it != null && term > it.term }) grant = null
+        highestTerm = maxOf(highestTerm, term)
+        if (grant.let { it != null && isVoid(it) }) grant = null
     }
 
+    /** A version without token ranges may report a token of the grant's own term as a term. */
+    private fun isVoid(grant: DelegationGrant): Boolean = highestTerm.firstToken > grant.tokens.last
+
     /**
      * Returns the token with which to answer a heartbeat of a worker in [workerZone] that has seen [knownToken], or
      * null if this node may not answer it. The worker drops an answer with a lower token than it has seen.
--- a/src/main/kotlin/org/elderhitch/lab/Network.kt
+++ b/src/main/kotlin/org/elderhitch/lab/Network.kt
@@ -140,6 +140,10 @@
     var slowAnswers: () -> Duration = { Duration.ZERO }
     var slowReports: () -> Duration = { Duration.ZERO }
 
+    /** Additional latency of the answer of one controller to another. */
+    var slowPeerAnswers: (caller: String, answering: String, answer: Response?) -> Duration =
+        { _, _, _ -> Duration.ZERO }
+
     /** Called for each request and answer that a node processes, to account for its processor time. */
     var onWork: (node: String, path: String) -> Unit = { _, _ -> }
 
@@ -205,7 +209,7 @@
         if (routed.isWatch && mustReload.remove(from)) return HttpServer.errorResponse(GONE, "too old")
         val answer = if (late.isPositive()) handleLate(late, to, handler, request) else handleAt(host, handler, request)
         repeatLater(routed, answer)
-        awaitAnswerDelivery(routed)
+        awaitAnswerDelivery(routed, answer)
         return answer
     }
 
@@ -239,9 +243,10 @@
     }
 
     /** Waits while the answer is in transit; forever if it is lost. */
-    private suspend fun awaitAnswerDelivery(routed: RoutedRequest) {
+    private suspend fun awaitAnswerDelivery(routed: RoutedRequest, answer: Response?) {
         val from = routed.from
         val source = routed.source
+        if (from in nodes && routed.host in nodes) delay(slowPeerAnswers(from, routed.host, answer))
         if (routed.machine != null) delay(slowAnswers())
         if (routed.machine in unableToReceive) delay(Duration.INFINITE)
         // Open watches of a refused node wait, as during an outage.
--- a/src/main/kotlin/org/elderhitch/scheduler/LeadershipUpdateHandler.kt
+++ b/src/main/kotlin/org/elderhitch/scheduler/LeadershipUpdateHandler.kt
@@ -32,14 +32,10 @@
     private fun changeLeadership(next: LeadershipState) {
         val previousTerm = state.currentTerm
         state.leadershipState = next
-        when (next) {
-            is LeadershipState.Follower -> delegates.observeTerm(next.term)
-            is LeadershipState.Leader -> if (previousTerm?.number == next.term) {
-                previousTerm.renew(next)
-            } else {
-                beginTerm(next)
-            }
-        }
+        // Also as the leader: a grant of an earlier term may arrive at any time, and be found when this term has ended.
+        delegates.observeTerm(next.term)
+        if (next !is LeadershipState.Leader) return
+        if (previousTerm?.number == next.term) previousTerm.renew(next) else beginTerm(next)
     }
 
     /** Begins a term. Components that outlive terms discard the state that is valid for one term only. */
--- a/src/test/kotlin/org/elderhitch/app/LeaseDelegatesTest.kt
+++ b/src/test/kotlin/org/elderhitch/app/LeaseDelegatesTest.kt
@@ -1,13 +1,21 @@
 package org.elderhitch.app
 
 import kotlinx.coroutines.delay
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.protobuf.ProtoBuf
+import org.elderhitch.cluster.PeerHeartbeat
+import org.elderhitch.http.Response
 import org.elderhitch.lab.Cut
 import org.elderhitch.lab.CutMode
 import org.elderhitch.lab.SimulatedCluster
 import org.elderhitch.lab.SimulationSettings
+import org.elderhitch.time.MonotonicInstant
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
 import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** Zones that are cut off together with a controller, for longer than a lease (`docs/design/recovery.md`). */
@@ -189,4 +197,106 @@
             }
         }
     }
+
+    /** Delays the grants that [node] receives from [leader], so that some arrive after the leader's term has ended. */
+    private class LateGrants(private val cluster: SimulatedCluster, node: String, leader: String) {
+        private val arrivals = ArrayList<MonotonicInstant>()
+
+        init {
+            cluster.network.slowPeerAnswers = { caller, answering, answer ->
+                val isGrant = caller == node && answering == leader && answer != null && grantsDelegation(answer)
+                if (isGrant) arrivals.add(cluster.clock.now() + LATENESS)
+                if (isGrant) LATENESS else Duration.ZERO
+            }
+        }
+
+        @OptIn(ExperimentalSerializationApi::class)
+        private fun grantsDelegation(answer: Response): Boolean =
+            ProtoBuf.decodeFromByteArray(PeerHeartbeat.serializer(), answer.body).delegateMs > 0
+
+        fun isInTransit(): Boolean = arrivals.any { it > cluster.clock.now() }
+
+        fun countAfter(claim: MonotonicInstant): Int = arrivals.count { it > claim + CLAIM_KNOWN_AFTER }
+
+        private companion object {
+            /** Shorter than the time for which a controller waits for the answer. */
+            val LATENESS = 900.milliseconds
+            val CLAIM_KNOWN_AFTER = 20.milliseconds
+        }
+    }
+
+    /**
+     * Cuts off zone b just after the leader's term has ended by [endTerm] and its successor has heard from all nodes.
+     * Returns the number of grants that reached the zone's node after their term had ended.
+     */
+    private suspend fun SimulatedCluster.cutZoneAfterLateGrant(
+        seed: Long,
+        endTerm: suspend SimulatedCluster.(leader: String, grants: LateGrants) -> Unit,
+    ): Int {
+        startServices()
+        submit("req-2", "daemon", 18, 0.0, mapOf("cores" to 40.0, "hall" to "a"))
+        submit("req-3", "daemon", 24, 0.0, mapOf("cores" to 40.0))
+        until("all tasks of the services run", 120.seconds) { onMachine.size == 66 }
+        assertTrue(onMachine.any { (task, machine) -> task.startsWith("req-3/") && machine(machine)?.zone == "b" })
+        val oldLeader = assertNotNull(leader())
+        val oldTerm = leaderTerm()
+        // The new leader's probes must not tell the zone's workers of its term.
+        cutZoneWorkersFrom("n0", "n1")
+        val grants = LateGrants(this, "n2", oldLeader)
+        // Each seed ends the old term at another moment of the exchange of heartbeats.
+        delay((seed * 120).milliseconds)
+        endTerm(oldLeader, grants)
+        while (leaderTerm().let { it == null || it == oldTerm }) delay(1.milliseconds)
+        val claim = clock.now()
+        delay(1500.milliseconds)
+        cutZone("b", CutMode.RESET)
+        network.refused.remove(oldLeader)
+        // Frees machines on which the zone's tasks may be started.
+        ask("POST", "/work/req-2/withdraw", node = "n0")
+        delay(70.seconds)
+        check(violations.isEmpty()) { "seed $seed: ${violations.joinToString("; ")}" }
+        return grants.countAfter(claim)
+    }
+
+    private fun SimulatedCluster.leaderTerm(): Long? = platform.state.value("v/a/leader")?.long("term")
+
+    private fun SimulatedCluster.cutZoneWorkersFrom(vararg nodes: String) {
+        fun isWorkerOfZone(host: String) = host !in names && zoneOf(host) == "b"
+        val separates = { from: String, to: String ->
+            from in nodes && isWorkerOfZone(to) || to in nodes && isWorkerOfZone(from)
+        }
+        network.cuts.add(Cut(CutMode.RESET, separates))
+    }
+
+    /**
+     * Regression (`docs/incidents/stale-grant.md`, invariant `ran_twice`): a node told the next leader that it knew the
+     * new term, then received a late grant of the old one, and renewed leases that the leader counted as over.
+     */
+    @Test
+    fun `a grant that arrives after its term has ended renews no lease of a zone that is cut off`() {
+        val lateGrants = (1L..16L).sumOf { seed ->
+            var received = 0
+            runInSimulatedCluster(settings(seed)) {
+                received = cutZoneAfterLateGrant(seed) { leader, _ -> network.refused.add(leader) }
+            }
+            received
+        }
+        assertTrue(lateGrants >= 4, "$lateGrants late grants")
+    }
+
+    /** The same regression: the leader crashes while its grant is in transit, and claims the next term at once. */
+    @Test
+    fun `a grant of a leader that has crashed and leads again renews no lease of a zone that is cut off`() {
+        for (seed in 1L..4L) {
+            runInSimulatedCluster(settings(seed)) {
+                val received = cutZoneAfterLateGrant(seed) { leader, grants ->
+                    while (!grants.isInTransit()) delay(1.milliseconds)
+                    crash(leader)
+                    delay(200.milliseconds)
+                    startNode(leader)
+                }
+                assertTrue(received > 0, "seed $seed: no late grant")
+            }
+        }
+    }
 }
--- a/src/test/kotlin/org/elderhitch/delegates/LeaseDelegationTest.kt
+++ b/src/test/kotlin/org/elderhitch/delegates/LeaseDelegationTest.kt
@@ -157,6 +157,56 @@
         assertNull(delegate.responseToken(zone, FencingToken(2), { true }, now))
     }
 
+    /** Regression (`docs/incidents/stale-grant.md`): the newer term had revoked the grant before, so there was none. */
+    @Test
+    fun `a grant of a term that was over before it arrived is void, though no other grant is held`() {
+        val delegate = LeaseDelegate(zone)
+        assertTrue(delegate.accept(grantOf(Term(2), now + 5.seconds)))
+        delegate.observeTerm(Term(3))
+        assertFalse(delegate.accept(grantOf(Term(2), now + 10.seconds)))
+        delegate.observeTerm(Term(2))
+        assertFalse(delegate.accept(grantOf(Term(2), now + 10.seconds)), "a delayed message does not lower the term")
+        assertNull(delegate.responseToken(zone, FencingToken(2), { true }, now))
+        assertTrue(delegate.accept(grantOf(Term(3), now + 10.seconds)))
+    }
+
+    /** Grants and terms become known in any order, late and repeatedly. */
+    @Test
+    fun `a lease delegate never answers with a token of an earlier term than it has ever known`() {
+        var answers = 0
+        for (seed in 1..500) {
+            val random = Random(seed)
+            val delegate = LeaseDelegate(zone)
+            var known = Term.NONE
+            repeat(60) {
+                val term = Term(random.nextLong(1, 8))
+                if (random.nextBoolean()) {
+                    delegate.observeTerm(term)
+                    known = maxOf(known, term)
+                } else {
+                    delegate.accept(grantOf(term, now + random.nextInt(-5, 20).seconds))
+                }
+                val token = delegate.responseToken(zone, FencingToken.NONE, { true }, now)
+                if (token != null) answers++
+                assertTrue(token == null || token >= known.firstToken, "seed $seed: answers with $token, knows $known")
+            }
+        }
+        assertTrue(answers > 5000, "$answers")
+    }
+
+    /** A version without token ranges may pass on a worker's token as a term (`LeadershipStateMachine.observeTerm`). */
+    @Test
+    fun `a token of the grant's own term is no newer term`() {
+        val delegate = LeaseDelegate(zone)
+        val grant = DelegationGrant(TokenRange(FencingToken(30), FencingToken(39)), peer, now + 10.seconds)
+        delegate.observeTerm(Term(35))
+        assertTrue(delegate.accept(grant))
+        delegate.observeTerm(Term(39))
+        assertNotNull(delegate.responseToken(zone, FencingToken(30), { true }, now))
+        delegate.observeTerm(Term(40))
+        assertNull(delegate.responseToken(zone, FencingToken(30), { true }, now))
+    }
+
     /** A worker drops an answer with a lower token than it has seen, and its lease would end. */
     @Test
     fun `a lease delegate answers a worker with the token that the leader has raised for it`() {
