Submissions that lack a field that can't be null are refused

Cause: one function, JobCodec.decode, read submissions and stored records. Records of earlier versions may lack the three flags, so it read them as false when absent, and submissions got the same defaults.

By reading: the HTTP layer, the forwarding between controllers and the admission pass the body on unread, so nothing else decides.

Change: decodeSubmission requires every field that can't be null; decodeStored keeps the defaults for records and held DRMAA jobs. A known job keeps its answer, as that was looked up before the refusal.

GoldenSweepsTest expects the complete body of a point; the packed description beside it is as before.

--- a/src/main/kotlin/org/elderhitch/drmaa/Submissions.kt
+++ b/src/main/kotlin/org/elderhitch/drmaa/Submissions.kt
@@ -134,7 +134,7 @@
     }
 
     private fun decodeHeld(held: HeldJob): Pair<JobSpec, Map<String, Any?>>? = try {
-        JobCodec.decode(held.body) to (held.body.raw("drmaa")?.let { mapOf("drmaa" to it) }.orEmpty())
+        JobCodec.decodeStored(held.body) to (held.body.raw("drmaa")?.let { mapOf("drmaa" to it) }.orEmpty())
     } catch (e: MalformedJson) {
         log.error("held job malformed reason=\"{}\"", e.message)
         null
--- a/src/main/kotlin/org/elderhitch/drmaa/TemplateCheck.kt
+++ b/src/main/kotlin/org/elderhitch/drmaa/TemplateCheck.kt
@@ -133,7 +133,7 @@
     }
 
     private fun decodeSpec(body: Map<String, Any?>, native: Map<String, Any?>): JobSpec = try {
-        JobCodec.decode(JsonObject.of(body))
+        JobCodec.decodeSubmission(JsonObject.of(body))
     } catch (e: MalformedJson) {
         val reason = "${attributeOf(e.message.orEmpty(), native)}: ${e.message}"
         throw Refused(Fault.InvalidAttributeValueException, reason, e)
@@ -242,7 +242,7 @@
             "lotKind" to "array", "urgency" to "normal", TASKS to 1L, "cores" to 1.0, "accelerators" to 0.0,
             "memGb" to 1.0, "pullGb" to 0.0,
             ESTIMATE to 60.0, "tallyS" to 0.0, "stowS" to 0.0,
-        )
+        ) + JobCodec.FLAG_DEFAULTS
 
         /** Attributes that are only passed on to the workers; the scheduler doesn't use them. */
         private val PASSED_THROUGH =
--- a/src/main/kotlin/org/elderhitch/jobs/JobCodec.kt
+++ b/src/main/kotlin/org/elderhitch/jobs/JobCodec.kt
@@ -19,10 +19,21 @@
     fun decode(field: String, name: String): T = valueByName[name] ?: throw MalformedJson("$field: unknown")
 }
 
-/** Converts jobs from and to JSON. Requests of users and values in the state service have the same format. */
+/**
+ * Converts jobs from and to JSON. Submissions and records in the state service have the same fields, but a submission
+ * must contain all that can't be null, while a record may have been written by an earlier version, without some of them.
+ */
 public object JobCodec {
     /** The maximum number of tasks of a job. */
     public const val MAX_TASKS: Int = 100_000
+
+    private const val ONE_ZONE = "samePlace"
+    private const val SPREAD = "spread"
+    private const val SPOT_ALLOWED = "borrowedRigs"
+
+    /** The fields that job templates need not set and that records of earlier versions may lack, with their values. */
+    public val FLAG_DEFAULTS: Map<String, Boolean> = mapOf(ONE_ZONE to false, SPREAD to false, SPOT_ALLOWED to false)
+
     private const val MAX_NAME_LENGTH = 200
     private const val MAX_MACHINE_TYPES = 64
 
@@ -40,8 +51,20 @@
      */
     public fun id(body: JsonObject): JobId = parseId("id", body.string("id"))
 
-    /** Reads a job. Throws [MalformedJson], whose message names the invalid field. */
-    public fun decode(body: JsonObject): JobSpec {
+    /**
+     * Reads a job as it is submitted: only fields that may be null may be absent. Throws [MalformedJson], whose message
+     * names the missing or invalid field.
+     */
+    public fun decodeSubmission(body: JsonObject): JobSpec = decode(body, body::boolean)
+
+    /**
+     * Reads a job that was accepted and stored, possibly by an earlier version: absent flags have their [FLAG_DEFAULTS].
+     * Throws [MalformedJson], whose message names the missing or invalid field.
+     */
+    public fun decodeStored(value: JsonObject): JobSpec =
+        decode(value) { field -> value.booleanOrNull(field) ?: FLAG_DEFAULTS.getValue(field) }
+
+    private fun decode(body: JsonObject, flag: (String) -> Boolean): JobSpec {
         val kind = kindNames.decode("lotKind", body.string("lotKind"))
         val tasks = decodeTaskCount(body)
         val resources = Resources.ofTask(body.amount("cores"), body.amount("accelerators"), body.amount("memGb"))
@@ -56,9 +79,9 @@
             resources = resources,
             types = types,
             zone = body.stringOrNull("hall")?.let { Zone(checkedName("hall", it)) },
-            oneZone = body.booleanOrNull("samePlace") ?: false,
-            spread = body.booleanOrNull("spread") ?: false,
-            spotAllowed = body.booleanOrNull("borrowedRigs") ?: false,
+            oneZone = flag(ONE_ZONE),
+            spread = flag(SPREAD),
+            spotAllowed = flag(SPOT_ALLOWED),
             image = Image(checkedName("catchImage", body.string("catchImage"))),
             imageGb = body.amount("pullGb"),
             estimate = body.amount("haulS").seconds,
@@ -96,9 +119,9 @@
         "pullGb" to spec.imageGb,
         "rigs" to spec.types?.map { it.name },
         "hall" to spec.zone?.name,
-        "samePlace" to spec.oneZone,
-        "spread" to spec.spread,
-        "borrowedRigs" to spec.spotAllowed,
+        ONE_ZONE to spec.oneZone,
+        SPREAD to spec.spread,
+        SPOT_ALLOWED to spec.spotAllowed,
         "haulS" to toSeconds(spec.estimate),
         "tallyS" to toSeconds(spec.checkpointInterval),
         "stowS" to toSeconds(spec.checkpointDuration),
--- a/src/main/kotlin/org/elderhitch/jobs/JobRegistry.kt
+++ b/src/main/kotlin/org/elderhitch/jobs/JobRegistry.kt
@@ -118,7 +118,7 @@
 
     private fun applyJob(id: JobId, entry: Entry) {
         try {
-            open(JobCodec.decode(entry.value), entry.version)
+            open(JobCodec.decodeStored(entry.value), entry.version)
         } catch (e: MalformedJson) {
             log.error("job record malformed job={} reason=\"{}\"", id, e.message)
         }
--- a/src/main/kotlin/org/elderhitch/jobs/JobService.kt
+++ b/src/main/kotlin/org/elderhitch/jobs/JobService.kt
@@ -59,7 +59,7 @@
 
     private suspend fun submit(body: JsonObject): JobResponse {
         val spec = try {
-            JobCodec.decode(body)
+            JobCodec.decodeSubmission(body)
         } catch (e: MalformedJson) {
             // The repeated submission of an accepted job is not refused, even if its body is invalid.
             return acceptedBefore(JobCodec.id(body)) ?: JobResponse.Malformed(e.message.orEmpty())
--- a/src/main/kotlin/org/elderhitch/sweeps/Template.kt
+++ b/src/main/kotlin/org/elderhitch/sweeps/Template.kt
@@ -78,8 +78,8 @@
 }
 
 /**
- * A native job body with placeholders `${name}`, and the parameters whose values replace them. The same values always
- * give the same job.
+ * A native job body with placeholders `${name}`, and the parameters whose values replace them. Flags that the body
+ * doesn't set have their [JobCodec.FLAG_DEFAULTS]. The same values always give the same job.
  */
 public class Template private constructor(
     public val params: Map<String, Param>,
@@ -99,7 +99,7 @@
         return values
     }
 
-    /** The native job body of a point. Throws [BadPoint]. */
+    /** The complete native job body of a point. Throws [BadPoint]. */
     public fun body(id: JobId, given: Map<String, Any?>): Map<String, Any?> {
         val values = values(given)
         return linkedMapOf<String, Any?>("id" to id.text) + body.mapValues { substitute(it.value, values) }
@@ -107,7 +107,7 @@
 
     /** The job of a point. Throws [BadPoint], naming the field if the job codec refuses one. */
     public fun job(id: JobId, given: Map<String, Any?>): JobSpec = try {
-        JobCodec.decode(JsonObject.of(body(id, given)))
+        JobCodec.decodeSubmission(JsonObject.of(body(id, given)))
     } catch (e: MalformedJson) {
         val message = e.message.orEmpty()
         throw BadPoint(message.substringBefore(':'), message.substringAfter(": "))
@@ -150,7 +150,8 @@
                     it !in byName
                 }?.let { throw BadTemplate("job.$field: $it is not a parameter") }
             }
-            return Template(byName, body, inDependencyOrder(byName))
+            val unsetFlags = JobCodec.FLAG_DEFAULTS.filterKeys { !job.has(it) }
+            return Template(byName, body + unsetFlags, inDependencyOrder(byName))
         }
 
         private fun placeholders(value: Any?): List<String> = when (value) {
--- a/src/test/kotlin/org/elderhitch/drmaa/InputChecksTest.kt
+++ b/src/test/kotlin/org/elderhitch/drmaa/InputChecksTest.kt
@@ -74,6 +74,8 @@
             listOf(bare.spec.jobClass, bare.spec.image.name, bare.spec.tasks, bare.spec.estimate, bare.spec.deadline),
         )
         assertTrue(bare.onHold && bare.extra.toString().contains("bulk"))
+        assertEquals(listOf(true, false), listOf(spec.spotAllowed, spec.oneZone))
+        assertEquals(listOf(false, false, false), bare.spec.run { listOf(oneZone, spread, spotAllowed) })
         assertEquals(null, checked(mapOf("command" to "i", "startAt" to now.ms - 5)).startAt)
         assertEquals(
             30.seconds,
--- a/src/test/kotlin/org/elderhitch/drmaa/JobControlTest.kt
+++ b/src/test/kotlin/org/elderhitch/drmaa/JobControlTest.kt
@@ -1,6 +1,8 @@
 package org.elderhitch.drmaa
 
 import kotlinx.coroutines.delay
+import org.elderhitch.jobs.JobId
+import org.elderhitch.jobs.SubmissionFields
 import org.elderhitch.lab.TransactionOutcome
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -34,6 +36,22 @@
         assertTrue(platform.state.keys().none { it.startsWith("v/a/drmaa/h/") })
     }
 
+    @Test
+    fun `a held job that an earlier version recorded without flags is submitted when released`() =
+        withDrmaa { settings ->
+            val client = client(settings)
+            val held = client.submit(short + mapOf("hold" to true))
+            val key = DrmaaKeys.held(assertNotNull(JobName.parse(JobId(held))))
+            val record = assertNotNull(platform.state.value(key))
+            val job = record.requireObject("job")
+            val earlierJob = (job.names - SubmissionFields.FLAGS.toSet()).associateWith(job::raw)
+            platform.state.overwrite(key, record.names.associateWith(record::raw) + ("job" to earlierJob))
+            crash(assertNotNull(leader()))
+            delay(20.seconds)
+            assertEquals(200, client.control(held, "RELEASE").status)
+            assertEquals(held, client.wait(held, 90.seconds)?.body?.string("job"))
+        }
+
     @Test
     fun `a hold that races with the start is either applied or refused`() {
         var refused = 0
--- a/src/test/kotlin/org/elderhitch/golden/GoldenDrmaaTest.kt
+++ b/src/test/kotlin/org/elderhitch/golden/GoldenDrmaaTest.kt
@@ -20,6 +20,7 @@
 import org.elderhitch.drmaa.client.NodeAnswer
 import org.elderhitch.drmaa.client.Template
 import org.elderhitch.drmaa.client.Wire
+import org.elderhitch.jobs.JobCodec
 import org.elderhitch.jobs.JobId
 import org.elderhitch.json.Json
 import org.elderhitch.json.JsonObject
@@ -154,6 +155,9 @@
             "start" to full.startAt?.ms,
         )
         assertBytes("held-full.json", written)
+        // The sample was written by a version that stored no flags.
+        val job = JobCodec.decodeStored(full.body)
+        assertEquals(listOf(false, false, false), listOf(job.oneZone, job.spread, job.spotAllowed))
         val least = HeldJob.decode(file("held-least.json"), version) ?: error("not decoded")
         assertEquals("req-dabcdefghijkl-aaaaaaaa-00000004", least.body.string("id"))
         assertEquals(false, least.byUser)
--- a/src/test/kotlin/org/elderhitch/golden/GoldenStoreJobsTest.kt
+++ b/src/test/kotlin/org/elderhitch/golden/GoldenStoreJobsTest.kt
@@ -26,7 +26,7 @@
 class GoldenStoreJobsTest {
     @Test
     fun `a job record round-trips with every optional field and without any`() {
-        val full = JobCodec.decode(stored("job-full"))
+        val full = JobCodec.decodeStored(stored("job-full"))
         assertMatchesSample("job-full", JobCodec.encode(full))
         assertEquals(5000, full.tasks)
         assertEquals(listOf("g8", "g16"), full.types?.map { it.name })
@@ -35,12 +35,12 @@
         val durations = listOf(full.estimate, full.checkpointInterval, full.checkpointDuration)
         assertEquals(listOf(90.5.seconds, 30.seconds, 2.5.seconds), durations)
         assertEquals(3600.seconds, full.deadline)
-        assertMatchesSample("job-least", JobCodec.encode(JobCodec.decode(stored("job-least"))))
+        assertMatchesSample("job-least", JobCodec.encode(JobCodec.decodeStored(stored("job-least"))))
     }
 
     @Test
     fun `a job record of an earlier version is read with defaults`() {
-        val earlier = JobCodec.decode(stored("job-earlier"))
+        val earlier = JobCodec.decodeStored(stored("job-earlier"))
         assertMatchesSample("job-least", JobCodec.encode(earlier))
         assertFalse(earlier.oneZone || earlier.spread || earlier.spotAllowed)
         assertEquals(List(4) { null }, listOf(earlier.types, earlier.zone, earlier.deadline, earlier.repeatOf))
@@ -51,9 +51,9 @@
         val stored = stored("job-extra")
         assertMatchesSample(
             "job-extra",
-            JobCodec.encode(JobCodec.decode(stored)) + mapOf("drmaa" to stored.raw("drmaa")),
+            JobCodec.encode(JobCodec.decodeStored(stored)) + mapOf("drmaa" to stored.raw("drmaa")),
         )
-        assertMatchesSample("job-least", JobCodec.encode(JobCodec.decode(stored)))
+        assertMatchesSample("job-least", JobCodec.encode(JobCodec.decodeStored(stored)))
     }
 
     @Test
@@ -61,11 +61,11 @@
         val least = text("job-least")
         for (kind in listOf("array", "gang", "daemon")) {
             val value = least.replace("\"lotKind\":\"daemon\"", "\"lotKind\":\"$kind\"")
-            assertEquals(value, Json.text(JobCodec.encode(JobCodec.decode(parse(value)))))
+            assertEquals(value, Json.text(JobCodec.encode(JobCodec.decodeStored(parse(value)))))
         }
         for (urgency in listOf("production", "urgent", "normal", "idle")) {
             val value = least.replace("\"urgency\":\"idle\"", "\"urgency\":\"$urgency\"")
-            assertEquals(value, Json.text(JobCodec.encode(JobCodec.decode(parse(value)))))
+            assertEquals(value, Json.text(JobCodec.encode(JobCodec.decodeStored(parse(value)))))
         }
     }
 
@@ -74,7 +74,7 @@
         val full = text("job-full")
         fun assertRejected(message: String, from: String, to: String) {
             assertTrue(from in full, from)
-            assertMalformed(message) { JobCodec.decode(parse(full.replace(from, to))) }
+            assertMalformed(message) { JobCodec.decodeStored(parse(full.replace(from, to))) }
         }
         assertRejected("crates: not from 1 to 100000", "\"crates\":5000", "\"crates\":0")
         assertRejected("crates: not from 1 to 100000", "\"crates\":5000", "\"crates\":100001")
@@ -93,7 +93,10 @@
         assertRejected("hall: empty or over 200 characters", "\"north\"", "\"\"")
         assertRejected("samePlace: not true or false", "\"samePlace\":true", "\"samePlace\":1")
         assertFailsWith<MalformedJson> { parse(full.dropLast(1)) }
-        assertMatchesSample("job-full", JobCodec.encode(JobCodec.decode(parse(full.dropLast(1) + ",\"newer\":[1]}"))))
+        assertMatchesSample(
+            "job-full",
+            JobCodec.encode(JobCodec.decodeStored(parse(full.dropLast(1) + ",\"newer\":[1]}"))),
+        )
     }
 
     private fun assertBlockRoundTrip(name: String, block: Int, tasks: Int = 5000): CompletedTasks {
--- a/src/test/kotlin/org/elderhitch/golden/GoldenSweepsTest.kt
+++ b/src/test/kotlin/org/elderhitch/golden/GoldenSweepsTest.kt
@@ -210,8 +210,12 @@
         assertEquals(listOf("skip", 17), listOf(grid.onBad.name.lowercase(), grid.atOnce))
         val body = """{"id":"req-wlakes2024-35","lotClass":"score","desk":"team one","lotKind":"array",""" +
             """"urgency":"normal","crates":2,"cores":4.0,"accelerators":0.5,"memGb":8.0,"catchImage":"img-ziway",""" +
-            """"pullGb":1.0,"borrowedRigs":true,"haulS":3.0,"tallyS":0.0,"stowS":0.0}"""
+            """"pullGb":1.0,"borrowedRigs":true,"haulS":3.0,"tallyS":0.0,"stowS":0.0,"samePlace":false,""" +
+            """"spread":false}"""
         assertEquals(body, Json.text(grid.body(id, 35)))
+        // The sample was written by a version whose submissions could omit flags.
+        val job = grid.job(id, 35)
+        assertEquals(listOf(false, false, true), listOf(job.oneZone, job.spread, job.spotAllowed))
     }
 
     @Test
--- a/src/test/kotlin/org/elderhitch/golden/GoldenUserWireTest.kt
+++ b/src/test/kotlin/org/elderhitch/golden/GoldenUserWireTest.kt
@@ -20,7 +20,7 @@
     private val submitted = GoldenFiles.text("wire/work-submitted.json")
 
     private fun reencode(text: String): String =
-        Json.text(JobCodec.encode(JobCodec.decode(Json.parseObject(text.encodeToByteArray()))))
+        Json.text(JobCodec.encode(JobCodec.decodeSubmission(Json.parseObject(text.encodeToByteArray()))))
 
     private fun statusAndBody(response: Response): String = "${response.status} ${response.body.decodeToString()}"
 
@@ -61,7 +61,7 @@
     fun `malformed jobs are rejected with the expected messages`() =
         BadSamples.check("wire/work-full.json", "wire/work-bad.tsv") {
             assertFailsWith<MalformedJson>(it.decodeToString()) {
-                JobCodec.decode(Json.parseObject(it))
+                JobCodec.decodeSubmission(Json.parseObject(it))
             }.message.orEmpty()
         }
 
--- a/src/test/kotlin/org/elderhitch/jobs/JobCodecTest.kt
+++ b/src/test/kotlin/org/elderhitch/jobs/JobCodecTest.kt
@@ -2,6 +2,7 @@
 
 import org.elderhitch.json.Json
 import org.elderhitch.json.MalformedJson
+import java.io.File
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -32,34 +33,35 @@
         "closingS" to if (random.nextBoolean()) null else random.nextInt(4000) / 4.0,
     )
 
+    private fun submission(body: Map<String, Any?>): JobSpec =
+        JobCodec.decodeSubmission(Json.parseObject(Json.bytes(body)))
+
     @Test
     fun `a job survives encoding and decoding, and unknown fields are ignored`() {
         val random = Random(4)
         repeat(300) {
             val body = body(random)
             body["surprise"] = mapOf("deep" to listOf(1, null, "x"))
-            val spec = JobCodec.decode(Json.parseObject(Json.bytes(body)))
-            val decodedAgain = JobCodec.decode(Json.parseObject(Json.bytes(JobCodec.encode(spec))))
-            assertEquals(spec, decodedAgain)
+            val spec = JobCodec.decodeSubmission(Json.parseObject(Json.bytes(body)))
+            val encoded = Json.parseObject(Json.bytes(JobCodec.encode(spec)))
+            assertEquals(spec, JobCodec.decodeStored(encoded))
+            assertEquals(spec, JobCodec.decodeSubmission(encoded))
             // A null field is equivalent to an absent one.
             body.values.removeAll { it == null }
-            assertEquals(spec, JobCodec.decode(Json.parseObject(Json.bytes(body))))
+            assertEquals(spec, JobCodec.decodeSubmission(Json.parseObject(Json.bytes(body))))
         }
     }
 
     @Test
     fun `the error for a missing or mistyped field names the field, and invalid values are refused`() {
         val validBody = body(Random(5))
-        val required = listOf(
-            "id", "lotClass", "desk", "lotKind", "urgency", "crates",
-            "cores", "accelerators", "memGb", "catchImage", "haulS",
-        )
-        for (field in required) {
-            for (badValue in listOf(null, listOf(1), mapOf("a" to 1), true)) {
-                val error =
-                    assertFailsWith<MalformedJson>(field) {
-                        JobCodec.decode(Json.parseObject(Json.bytes(validBody + (field to badValue))))
-                    }
+        for (field in SubmissionFields.REQUIRED) {
+            for (missing in listOf(validBody - field, validBody + (field to null))) {
+                val error = assertFailsWith<MalformedJson>(field) { submission(missing) }
+                assertEquals("$field: missing", error.message)
+            }
+            for (badValue in listOf(listOf(1), mapOf("a" to 1), if (field in SubmissionFields.FLAGS) 1 else true)) {
+                val error = assertFailsWith<MalformedJson>(field) { submission(validBody + (field to badValue)) }
                 assertTrue(field in error.message.orEmpty(), "$field: ${error.message}")
             }
         }
@@ -70,8 +72,30 @@
             "spread" to "yes",
         )
         for ((field, badValue) in invalidFields) {
-            val body = Json.parseObject(Json.bytes(validBody + (field to badValue)))
-            assertFailsWith<MalformedJson>("$field=$badValue") { JobCodec.decode(body) }
+            assertFailsWith<MalformedJson>("$field=$badValue") { submission(validBody + (field to badValue)) }
+        }
+    }
+
+    @Test
+    fun `only flags may be absent from a stored job, and absent flags are false`() {
+        val validBody = body(Random(6)) + SubmissionFields.FLAGS.associateWith { true }
+        for (field in SubmissionFields.REQUIRED) {
+            val withoutField = Json.parseObject(Json.bytes(validBody - field))
+            if (field in SubmissionFields.FLAGS) {
+                assertEquals(submission(validBody + (field to false)), JobCodec.decodeStored(withoutField))
+            } else {
+                val error = assertFailsWith<MalformedJson>(field) { JobCodec.decodeStored(withoutField) }
+                assertEquals("$field: missing", error.message)
+            }
+        }
+        assertEquals(SubmissionFields.FLAGS.associateWith { false }, JobCodec.FLAG_DEFAULTS)
+    }
+
+    @Test
+    fun `the example jobs are complete submissions`() {
+        for (name in listOf("job", "service")) {
+            val example = Json.parseObject(File("example/$name.json").readBytes())
+            assertEquals(JobCodec.decodeStored(example), JobCodec.decodeSubmission(example))
         }
     }
 
--- a/src/test/kotlin/org/elderhitch/jobs/JobRegistryTest.kt
+++ b/src/test/kotlin/org/elderhitch/jobs/JobRegistryTest.kt
@@ -18,7 +18,7 @@
 /** Reports about jobs that reach a node in any order from its own writes, other controllers and the state service. */
 class JobRegistryTest {
     private fun spec(id: String): JobSpec =
-        JobCodec.decode(Json.parseObject(Json.bytes(ClassArchiveTraining.exampleJob(id, "array"))))
+        JobCodec.decodeSubmission(Json.parseObject(Json.bytes(ClassArchiveTraining.exampleJob(id, "array"))))
 
     private fun entry(key: String, value: Map<String, Any?>, version: Long) =
         Entry(key, Json.parseObject(Json.bytes(value)), Revision(version))
--- a/src/test/kotlin/org/elderhitch/jobs/UnusualAmounts.kt
+++ b/src/test/kotlin/org/elderhitch/jobs/UnusualAmounts.kt
@@ -17,7 +17,7 @@
     }
 
     /** The job as a controller reads it from a submission or from its stored record. */
-    fun job(id: String, kind: String, tasks: Int, values: Map<String, Any?>): JobSpec = JobCodec.decode(
+    fun job(id: String, kind: String, tasks: Int, values: Map<String, Any?>): JobSpec = JobCodec.decodeSubmission(
         Json.parseObject(Json.bytes(ClassArchiveTraining.exampleJob(id, kind) + ("crates" to tasks) + values)),
     )
 
--- a/src/test/kotlin/org/elderhitch/scheduler/CycleInputBuilderTest.kt
+++ b/src/test/kotlin/org/elderhitch/scheduler/CycleInputBuilderTest.kt
@@ -45,7 +45,7 @@
 
     private fun open(id: String, tasks: Int, values: Map<String, Any?> = emptyMap()): JobState {
         val job = ClassArchiveTraining.exampleJob(id, "array") + ("crates" to tasks) + values
-        val spec = JobCodec.decode(Json.parseObject(Json.bytes(job)))
+        val spec = JobCodec.decodeSubmission(Json.parseObject(Json.bytes(job)))
         return table.open(JobEvent.Opened(spec, Revision(7)))
     }
 
--- a/src/test/kotlin/org/elderhitch/sweeps/DescriptionTest.kt
+++ b/src/test/kotlin/org/elderhitch/sweeps/DescriptionTest.kt
@@ -1,5 +1,7 @@
 package org.elderhitch.sweeps
 
+import org.elderhitch.jobs.JobCodec
+import org.elderhitch.jobs.SubmissionFields
 import org.elderhitch.json.Json
 import org.elderhitch.json.JsonObject
 import kotlin.random.Random
@@ -162,6 +164,41 @@
         expectMalformed("""{"grid":{"threshold":[0.5],"tasks":[51]}}""", "tasks")
     }
 
+    /** The example's template with these [fields], and without any other flags. */
+    private fun templateOf(fields: Map<String, Any?>): Template {
+        val example = ExampleSweeps.json("""{"grid":{"threshold":[0.5]}}""")
+        val job = example.requireObject("job")
+        val fieldsWithoutFlags = (job.names - SubmissionFields.FLAGS.toSet()).associateWith(job::raw)
+        return Template.parse(example.objectOrNull("params"), JsonObject.of(fieldsWithoutFlags + fields))
+    }
+
+    @Test
+    fun `a template may omit the flags, and a point's body is a complete submission`() {
+        val given = mapOf("threshold" to 0.5)
+        val flagValues = listOf(
+            emptyMap(),
+            SubmissionFields.FLAGS.associateWith { null },
+            SubmissionFields.FLAGS.associateWith { true },
+        )
+        for (flags in flagValues) {
+            val template = templateOf(flags)
+            val job = template.job(id.point(0), given)
+            val expectedFlags = SubmissionFields.FLAGS.map { flags[it] ?: false }
+            assertEquals(expectedFlags, listOf(job.oneZone, job.spread, job.spotAllowed))
+            assertEquals(job, JobCodec.decodeSubmission(JsonObject.of(template.body(id.point(0), given))))
+        }
+    }
+
+    @Test
+    fun `a template that lacks another field makes no jobs, and the reason names the field`() {
+        for (field in SubmissionFields.REQUIRED - SubmissionFields.FLAGS.toSet() - "id") {
+            val malformed = assertFailsWith<BadPoint>(field) {
+                templateOf(mapOf(field to null)).job(id.point(0), mapOf("threshold" to 0.5))
+            }
+            assertEquals(field to "missing", malformed.column to malformed.reason)
+        }
+    }
+
     @Test
     fun `defaults may refer to other parameters in any order`() {
         val template = Template.parse(
--- a/src/test/kotlin/org/elderhitch/tasks/EndedJobRetentionTest.kt
+++ b/src/test/kotlin/org/elderhitch/tasks/EndedJobRetentionTest.kt
@@ -27,7 +27,7 @@
         val table = TaskTable(SteadyClock { now }, timeouts.taskRetention)
         fun open(id: String) = table.open(
             JobEvent.Opened(
-                JobCodec.decode(Json.parseObject(Json.bytes(ClassArchiveTraining.exampleJob(id, "array")))),
+                JobCodec.decodeSubmission(Json.parseObject(Json.bytes(ClassArchiveTraining.exampleJob(id, "array")))),
                 Revision(7),
             ),
         )
