Labs derive the facts of a job from the body that is submitted

Cause: each kind of job in the storms, and CheckedCluster for the tests, stated its properties twice, once in the body and once for the invariant checker. The two could differ, and CheckedCluster took every job as one that may use spot machines.

Change: JobFacts.of reads the body. SubmittedJob holds both, and one function makes the job.

--- a/src/main/kotlin/org/elderhitch/lab/InvariantChecker.kt
+++ b/src/main/kotlin/org/elderhitch/lab/InvariantChecker.kt
@@ -30,7 +30,27 @@
     val types: Set<String>? = null,
     /** The job can never run, or lacks a field: no node may accept it. */
     val impossible: Boolean = false,
-)
+) {
+    companion object {
+        /** The facts of a job that is submitted with [body] at [submittedAt] and counted under [jobClass]. */
+        fun of(body: Map<String, Any?>, jobClass: String, submittedAt: MonotonicInstant): JobFacts = JobFacts(
+            id = body["id"] as String,
+            team = body["desk"] as String,
+            tasks = body["crates"] as Int,
+            accelerators = body["accelerators"] as Double,
+            spotAllowed = body["borrowedRigs"] as Boolean,
+            zone = body["hall"] as String?,
+            oneZone = body["samePlace"] as Boolean,
+            gang = body["lotKind"] == "gang",
+            jobClass = jobClass,
+            endless = body["lotKind"] == "daemon",
+            submittedAt = submittedAt,
+            spread = body["spread"] as Boolean,
+            cores = body["cores"] as Double,
+            types = (body["rigs"] as List<*>?)?.map { it as String }?.toSet(),
+        )
+    }
+}
 
 /**
  * Checks the invariants of the scheduler from what happens on the machines and what users are told. A task counts as
--- a/src/main/kotlin/org/elderhitch/lab/SimulatedUsers.kt
+++ b/src/main/kotlin/org/elderhitch/lab/SimulatedUsers.kt
@@ -107,18 +107,12 @@
 
     fun id(): String = "req-%06d".format(nextId++)
 
-    fun submitAndFollow(
-        scope: CoroutineScope,
-        facts: JobFacts,
-        kind: String,
-        runSeconds: Double,
-        body: Map<String, Any?>,
-        withdrawAfter: Duration?,
-    ) {
+    /** Submits [job] and polls it until it has ended. Withdraws it after [withdrawAfter]; null: never. */
+    fun submitAndFollow(scope: CoroutineScope, job: SubmittedJob, withdrawAfter: Duration?) {
         scope.launch {
-            if (!submit(facts, kind, runSeconds, body)) return@launch
-            (if (facts.endless) services else batches).add(facts)
-            follow(scope, facts, withdrawAfter)
+            if (!submit(job)) return@launch
+            (if (job.facts.endless) services else batches).add(job.facts)
+            follow(scope, job.facts, withdrawAfter)
         }
     }
 
@@ -130,12 +124,10 @@
         rules.recordResponse(id, response.status, stateIn(response), sentAt)
     }
 
-    private suspend fun submit(facts: JobFacts, kind: String, runSeconds: Double, extra: Map<String, Any?>): Boolean {
+    private suspend fun submit(job: SubmittedJob): Boolean {
+        val facts = job.facts
         rules.recordSubmission(facts)
-        val body = Json.bytes(
-            ClassArchiveTraining.exampleJob(facts.id, kind) + mapOf("crates" to facts.tasks, "haulS" to runSeconds) +
-                extra,
-        )
+        val body = Json.bytes(job.body)
         bodies[facts.id] = body
         val began = cluster.clock.now()
         while (cluster.clock.now() - began < SUBMIT_RETRY_LIMIT) {
--- a/src/test/kotlin/org/elderhitch/app/CheckedCluster.kt
+++ b/src/test/kotlin/org/elderhitch/app/CheckedCluster.kt
@@ -70,23 +70,7 @@
         extra: Map<String, Any?> = emptyMap(),
     ) {
         val spec = ClassArchiveTraining.exampleJob(id, kind) + mapOf("crates" to tasks, "haulS" to runSeconds) + extra
-        val accelerators = spec["accelerators"] as Double
-        checker.recordSubmission(
-            JobFacts(
-                id,
-                spec["desk"] as String,
-                tasks,
-                accelerators,
-                true,
-                spec["hall"] as String?,
-                cores = spec["cores"] as Double,
-                oneZone = spec["samePlace"] == true,
-                gang = kind == "gang",
-                endless = kind == "daemon",
-                submittedAt = cluster.clock.now(),
-                spread = spec["spread"] == true,
-            ),
-        )
+        checker.recordSubmission(JobFacts.of(spec, jobClass = "", cluster.clock.now()))
         val body = Json.bytes(spec)
         submittedBodies[id] = body
         val began = cluster.clock.now()
