DRMAA: native specifications, bulk ranges and refusals have files of their own

Cause: TemplateCheck.kt held the exceptions of the specification, the index range of bulk jobs, the parser of native specifications and the check of templates; four requests repeated the same load of a session.

Drmaa loads a session in one function. No message and no behaviour changes.

Measured: tests of drmaa and the golden samples pass unchanged.

--- a/src/main/kotlin/org/elderhitch/drmaa/Drmaa.kt
+++ b/src/main/kotlin/org/elderhitch/drmaa/Drmaa.kt
@@ -14,6 +14,7 @@
 import org.elderhitch.store.Change
 import org.elderhitch.store.Entry
 import org.slf4j.LoggerFactory
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -202,13 +203,14 @@
         )
     }
 
-    private suspend fun run(claim: Claim.InSession, body: JsonObject): Response {
-        if (!loader.load(
-                claim.session,
-            )
-        ) {
+    private suspend fun requireLoaded(claim: Claim.InSession) {
+        if (!loader.load(claim.session)) {
             throw Refused(Fault.DrmCommunicationException, "the state service doesn't answer")
         }
+    }
+
+    private suspend fun run(claim: Claim.InSession, body: JsonObject): Response {
+        requireLoaded(claim)
         val request = requestId(body)
         val bulk = body.objectOrNull("bulk")?.let { Bulk.of(it.long("start"), it.long("end"), it.long("step")) }
         val job = JobName(claim.session, request.tag, request.number, bulk?.members)
@@ -245,12 +247,7 @@
     }
 
     private suspend fun wait(claim: Claim.InSession, body: JsonObject): Response {
-        if (!loader.load(
-                claim.session,
-            )
-        ) {
-            throw Refused(Fault.DrmCommunicationException, "the state service doesn't answer")
-        }
+        requireLoaded(claim)
         val text = body.string("job")
         val answer = if (text == ANY_JOB) {
             waits.awaitAny(claim.session, requestId(body), holdDuration(body))
@@ -261,12 +258,7 @@
     }
 
     private suspend fun sync(claim: Claim.InSession, body: JsonObject): Response {
-        if (!loader.load(
-                claim.session,
-            )
-        ) {
-            throw Refused(Fault.DrmCommunicationException, "the state service doesn't answer")
-        }
+        requireLoaded(claim)
         val jobs = body.stringsOrNull("jobs") ?: throw MalformedJson("jobs: missing")
         val names = if (jobs == listOf(ALL_JOBS)) null else jobs.map { resultName(claim, it) }.distinct()
         val dispose = body.booleanOrNull("dispose") ?: false
@@ -274,12 +266,7 @@
     }
 
     private suspend fun status(claim: Claim.InSession, body: JsonObject): Response {
-        if (!loader.load(
-                claim.session,
-            )
-        ) {
-            throw Refused(Fault.DrmCommunicationException, "the state service doesn't answer")
-        }
+        requireLoaded(claim)
         val status = control.status(resultName(claim, body.string("job"), allowWholeBulk = true))
         return ok("status" to status.code, "name" to status.name)
     }
@@ -312,20 +299,19 @@
     private fun requestId(body: JsonObject): RequestId =
         RequestId.parse(body.string("request")) ?: throw MalformedJson("request: must be a client tag and a number")
 
-    private fun holdDuration(body: JsonObject) = (body.longOrNull("holdMs") ?: 0).also {
-        if (it < 0) {
-            throw MalformedJson("holdMs: must not be negative")
-        }
+    private fun holdDuration(body: JsonObject): Duration {
+        val holdMs = body.longOrNull("holdMs") ?: 0
+        if (holdMs < 0) throw MalformedJson("holdMs: must not be negative")
+        return holdMs.milliseconds.coerceAtMost(Waits.MAX_HOLD)
     }
-        .milliseconds.coerceAtMost(Waits.MAX_HOLD)
 
     private fun upTo(body: JsonObject): Map<ClientTag, Int>? = body.objectOrNull("upto")?.let { numbers ->
-        numbers.names.associate {
-            (ClientTag.parse(it) ?: throw MalformedJson("upto: not a client tag")) to
-                numbers.long(it).toInt()
-        }
+        numbers.names.associate { clientTag(it) to numbers.long(it).toInt() }
     }
 
+    private fun clientTag(text: String): ClientTag =
+        ClientTag.parse(text) ?: throw MalformedJson("upto: not a client tag")
+
     private fun ok(vararg fields: Pair<String, Any?>) = Response(
         OK,
         Json.bytes(
--- a/src/main/kotlin/org/elderhitch/drmaa/TemplateCheck.kt
+++ b/src/main/kotlin/org/elderhitch/drmaa/TemplateCheck.kt
@@ -10,56 +10,6 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.DurationUnit
 
-/**
- * The exceptions of the DRMAA 1.0 specification by which requests are refused, each with its HTTP status. The client
- * library throws the exception of the same name.
- */
-public enum class Fault(public val status: Int) {
-    InvalidContactStringException(400),
-    InvalidAttributeFormatException(400),
-    InvalidAttributeValueException(400),
-    ConflictingAttributeValuesException(400),
-    InvalidArgumentException(400),
-    AuthorizationException(403),
-    DeniedByDrmException(422),
-    InvalidJobException(404),
-    NoActiveSessionException(404),
-    HoldInconsistentStateException(409),
-    ReleaseInconsistentStateException(409),
-    SuspendInconsistentStateException(409),
-    ResumeInconsistentStateException(409),
-    TryLaterException(503),
-    DrmCommunicationException(503),
-}
-
-/** A request is refused; [reason] is a single line. */
-public class Refused(public val fault: Fault, public val reason: String, cause: Throwable? = null) :
-    Exception(reason, cause)
-
-/** The index range of a bulk job: `start, start + step, …` up to `end`. */
-public data class Bulk(val start: Int, val end: Int, val step: Int) {
-    public val members: Int get() = (end - start) / step + 1
-
-    public companion object {
-        /** Throws [Refused]. */
-        public fun of(start: Long, end: Long, step: Long): Bulk {
-            if (step == 0L) throw Refused(Fault.InvalidArgumentException, "bulk: the step must not be 0")
-            if (start < 1 || end < 1) throw Refused(Fault.InvalidArgumentException, "bulk: indices must be at least 1")
-            val isEmpty = if (step > 0) end < start else end > start
-            if (isEmpty) throw Refused(Fault.InvalidArgumentException, "bulk: the range is empty")
-            // Each value is checked by itself, since sums of what a client sends may overflow.
-            if (maxOf(start, end) > Int.MAX_VALUE || step !in Int.MIN_VALUE..Int.MAX_VALUE) {
-                throw Refused(Fault.InvalidArgumentException, "bulk: start, end or step is out of range")
-            }
-            val bulk = Bulk(start.toInt(), end.toInt(), step.toInt())
-            if (bulk.members > JobCodec.MAX_TASKS) {
-                throw Refused(Fault.InvalidArgumentException, "bulk: more than ${JobCodec.MAX_TASKS} members")
-            }
-            return bulk
-        }
-    }
-}
-
 /** A checked job template, ready for submission. */
 public class CheckedTemplate(
     public val spec: JobSpec,
@@ -75,7 +25,7 @@
     /** Throws [Refused] naming the attribute. */
     public fun check(name: JobName, team: TeamName, template: JsonObject, bulk: Bulk?, now: WallTime): CheckedTemplate {
         rejectUnknown(template)
-        val native = parseNative(template.text("native"))
+        val native = NativeSpecification.parse(template.text("native"))
         val startAt = template.time("startAt")
         val deadline = template.time("deadlineAt")
         if (deadline != null) checkDeadline(deadline, startAt ?: now, native)
@@ -96,9 +46,7 @@
             spec,
             extra(template, bulk),
             template.flag("hold") ?: false,
-            startAt?.takeIf {
-                it > now
-            },
+            startAt?.takeIf { it > now },
         )
     }
 
@@ -145,36 +93,6 @@
         throw Refused(Fault.InvalidAttributeValueException, "$name: unknown attribute")
     }
 
-    /** Parses `key=value` pairs separated by white space; each sets a field of the native job description. */
-    private fun parseNative(text: String?): Map<String, Any?> {
-        if (text == null) return emptyMap()
-        val fields = LinkedHashMap<String, Any?>()
-        for (pair in text.split(' ', '\t', '\n').filter { it.isNotEmpty() }) {
-            val key = pair.substringBefore('=')
-            if ('=' !in pair) {
-                throw Refused(
-                    Fault.InvalidAttributeFormatException,
-                    "nativeSpecification: \"$key\" is no key=value",
-                )
-            }
-            val type =
-                NATIVE_FIELDS[key]
-                    ?: value("nativeSpecification: $key: unknown; known are ${NATIVE_FIELDS.keys.sorted()}")
-            if (fields.containsKey(
-                    key,
-                )
-            ) {
-                throw Refused(Fault.InvalidAttributeFormatException, "nativeSpecification: $key: set twice")
-            }
-            fields[key] = type.read(pair.substringAfter('='))
-                ?: throw Refused(
-                    Fault.InvalidAttributeFormatException,
-                    "nativeSpecification: $key: not ${type.description}",
-                )
-        }
-        return fields
-    }
-
     private fun attributeOf(reason: String, native: Map<String, Any?>): String =
         if (reason.substringBefore(':') in native) "nativeSpecification" else "template"
 
@@ -200,19 +118,10 @@
 
     private fun JsonObject.number(name: String): Double? = requireFormat { amountOrNull(name) }
 
-    private fun JsonObject.time(name: String): WallTime? = requireFormat { longOrNull(name) }?.let(::WallTime)
-        ?.also {
-            if (it.ms < 0 || it > MAX_TIME) {
-                throw Refused(Fault.InvalidAttributeValueException, "$name: out of range")
-            }
-        }
-
-    private enum class ValueType(val description: String, val read: (String) -> Any?) {
-        TEXT("a non-empty text", { it.ifEmpty { null } }),
-        COUNT("a whole number", { it.toLongOrNull() }),
-        AMOUNT("a number", { text -> text.toDoubleOrNull()?.takeIf { it.isFinite() } }),
-        FLAG("true or false", { it.toBooleanStrictOrNull() }),
-        LIST("a comma-separated list", { text -> text.split(',').takeIf { list -> list.none(String::isEmpty) } }),
+    private fun JsonObject.time(name: String): WallTime? {
+        val time = requireFormat { longOrNull(name) }?.let(::WallTime) ?: return null
+        if (time.ms < 0 || time > MAX_TIME) value("$name: out of range")
+        return time
     }
 
     public companion object {
@@ -222,43 +131,27 @@
         private const val DEADLINE = "closingS"
         private val MAX_TIME = WallTime(0) + (1000L * 365 * 24 * 3600 * 1000).milliseconds
 
-        private val NATIVE_FIELDS = mapOf(
-            "lotKind" to ValueType.TEXT, "urgency" to ValueType.TEXT, TASKS to ValueType.COUNT,
-            "cores" to ValueType.AMOUNT,
-            "accelerators" to ValueType.AMOUNT,
-            "memGb" to ValueType.AMOUNT, IMAGE to ValueType.TEXT, "pullGb" to ValueType.AMOUNT,
-            "rigs" to ValueType.LIST,
-            "hall" to ValueType.TEXT,
-            "samePlace" to ValueType.FLAG, "spread" to ValueType.FLAG, "borrowedRigs" to ValueType.FLAG,
-            ESTIMATE to ValueType.AMOUNT,
-            "tallyS" to ValueType.AMOUNT,
-            "stowS" to ValueType.AMOUNT, DEADLINE to ValueType.AMOUNT, "repeatOf" to ValueType.TEXT,
-        )
-
         /** Fields that a category may set: those of a native specification except `repeatOf`, and the job class. */
-        public val CATEGORY_FIELDS: Set<String> = NATIVE_FIELDS.keys - "repeatOf" + "lotClass"
+        public val CATEGORY_FIELDS: Set<String> = NativeSpecification.fields - "repeatOf" + "lotClass"
 
         private val DEFAULTS: Map<String, Any?> = mapOf(
-            "lotKind" to "array", "urgency" to "normal", TASKS to 1L, "cores" to 1.0, "accelerators" to 0.0,
-            "memGb" to 1.0, "pullGb" to 0.0,
-            ESTIMATE to 60.0, "tallyS" to 0.0, "stowS" to 0.0,
+            "lotKind" to "array",
+            "urgency" to "normal",
+            TASKS to 1L,
+            "cores" to 1.0,
+            "accelerators" to 0.0,
+            "memGb" to 1.0,
+            "pullGb" to 0.0,
+            ESTIMATE to 60.0,
+            "tallyS" to 0.0,
+            "stowS" to 0.0,
         ) + JobCodec.FLAG_DEFAULTS
 
         /** Attributes that are only passed on to the workers; the scheduler doesn't use them. */
-        private val PASSED_THROUGH =
-            listOf(
-                "command",
-                "args",
-                "env",
-                "directory",
-                "name",
-                "input",
-                "output",
-                "error",
-                "joinFiles",
-                "email",
-                "blockEmail",
-            )
+        private val PASSED_THROUGH = listOf(
+            "command", "args", "env", "directory", "name",
+            "input", "output", "error", "joinFiles", "email", "blockEmail",
+        )
         private val ATTRIBUTES =
             PASSED_THROUGH.toSet() + setOf("category", "native", "hold", "startAt", "deadlineAt", "softRunS")
     }
