--- a/src/main/kotlin/org/elderhitch/lab/BackgroundUsers.kt
+++ b/src/main/kotlin/org/elderhitch/lab/BackgroundUsers.kt
@@ -30,16 +30,10 @@
         }
     }
 
-    fun p99(): Long? = latencies.filter { it.first < calmUntil }.map { it.second }.sorted().let {
-        it.getOrNull(
-            (
-                (
-                    it.size -
-                        1
-                    ) *
-                    P99
-                ).toInt(),
-        )?.inWholeMilliseconds
+    /** The 99th percentile of the latencies before [calmUntil], in milliseconds; null: there were none. */
+    fun p99(): Long? {
+        val sorted = latencies.filter { it.first < calmUntil }.map { it.second }.sorted()
+        return sorted.getOrNull(((sorted.size - 1) * P99).toInt())?.inWholeMilliseconds
     }
 
     private companion object {
--- a/src/main/kotlin/org/elderhitch/sweeps/Template.kt
+++ b/src/main/kotlin/org/elderhitch/sweeps/Template.kt
@@ -136,19 +136,15 @@
         /** Throws [BadTemplate]. */
         public fun parse(params: JsonObject?, job: JsonObject): Template {
             val read = params?.names.orEmpty().map { name ->
-                param(
-                    name,
-                    params?.objectOrNull(name) ?: throw BadTemplate("params.$name: must be an object"),
-                )
+                param(name, params?.objectOrNull(name) ?: throw BadTemplate("params.$name: must be an object"))
             }
             if (read.size > MAX_PARAMS) throw BadTemplate("params: over $MAX_PARAMS")
             val body = job.names.associateWith { job.raw(it) }
             body.keys.firstOrNull { it in RESERVED }?.let { throw BadTemplate("job.$it: can't be set by a template") }
             val byName = read.associateBy { it.name }
             for ((field, value) in body) {
-                placeholders(value).firstOrNull {
-                    it !in byName
-                }?.let { throw BadTemplate("job.$field: $it is not a parameter") }
+                val unknown = placeholders(value).firstOrNull { it !in byName }
+                if (unknown != null) throw BadTemplate("job.$field: $unknown is not a parameter")
             }
             val unsetFlags = JobCodec.FLAG_DEFAULTS.filterKeys { !job.has(it) }
             return Template(byName, body + unsetFlags, inDependencyOrder(byName))
@@ -193,9 +189,7 @@
         private fun choices(from: JsonObject, unrestricted: Param): List<Any>? {
             val listed = from.raw("choices") as? List<*> ?: return null
             val choices = listed.map {
-                unrestricted.convert(
-                    it ?: throw BadTemplate("params.${unrestricted.name}.choices: null"),
-                )
+                unrestricted.convert(it ?: throw BadTemplate("params.${unrestricted.name}.choices: null"))
             }
             if (choices.isEmpty() || choices.size > MAX_CHOICES) {
                 throw BadTemplate("params.${unrestricted.name}.choices: not from 1 to $MAX_CHOICES")
@@ -208,18 +202,11 @@
             val done = LinkedHashMap<String, Param>()
             fun add(param: Param, path: List<String>) {
                 if (param.name in done) return
-                if (param.name in path) {
-                    throw BadTemplate(
-                        "params.${param.name}.default: circular reference: ${(path + param.name).joinToString(
-                            " -> ",
-                        )}",
-                    )
-                }
+                val pathHere = path + param.name
+                val at = "params.${param.name}.default"
+                if (param.name in path) throw BadTemplate("$at: circular reference: ${pathHere.joinToString(" -> ")}")
                 for (name in placeholders(param.default)) {
-                    add(
-                        params[name] ?: throw BadTemplate("params.${param.name}.default: $name is not a parameter"),
-                        path + param.name,
-                    )
+                    add(params[name] ?: throw BadTemplate("$at: $name is not a parameter"), pathHere)
                 }
                 done[param.name] = param
             }
