A repeated DRMAA request of an accepted job keeps its answer

What callers saw: a DRMAA client that repeats a request, since its answer was lost, was refused if the template would be refused by then: after its deadline, or once its category is gone. The job was recorded and ran.

Cause: Drmaa.run checked the template before it was known whether the job is recorded.

Change: Submissions.submit looks for the job first, and gives a refusal, whatever its reason, only once the state service has confirmed that the job isn't recorded. The same special case for the limit of results is gone.

--- a/src/main/kotlin/org/elderhitch/drmaa/Drmaa.kt
+++ b/src/main/kotlin/org/elderhitch/drmaa/Drmaa.kt
@@ -214,10 +214,8 @@
         val request = requestId(body)
         val bulk = body.objectOrNull("bulk")?.let { Bulk.of(it.long("start"), it.long("end"), it.long("step")) }
         val job = JobName(claim.session, request.tag, request.number, bulk?.members)
-        submissions.submit(
-            job,
-            templates.check(job, claim.team, body.requireObject("template"), bulk, context.wallClock.now()),
-        )
+        val template = body.requireObject("template")
+        submissions.submit(job) { templates.check(job, claim.team, template, bulk, context.wallClock.now()) }
         return ok("job" to job.toString(), "members" to bulk?.members)
     }
 
--- a/src/main/kotlin/org/elderhitch/drmaa/Submissions.kt
+++ b/src/main/kotlin/org/elderhitch/drmaa/Submissions.kt
@@ -36,20 +36,41 @@
 ) {
     private val log = LoggerFactory.getLogger("elderhitch.drmaa")
 
-    /** Submits or holds a checked job. A retry of an accepted request changes nothing. Throws [Refused]. */
-    public suspend fun submit(name: JobName, checked: CheckedTemplate) {
-        val (known, conflicts) = sessionRegistry.query(name.session) {
-            (it.held(name) != null || it.state.isKnown(name)) to
-                it.state.conflictsWith(name)
+    /**
+     * Submits or holds the job that [check] returns. A retry of an accepted request changes nothing, even if it would
+     * be refused by now. Throws [Refused], also if [check] does, but only once the job is known not to be recorded.
+     */
+    public suspend fun submit(name: JobName, check: () -> CheckedTemplate) {
+        if (isKnown(name)) return
+        try {
+            submitNew(name, check())
+        } catch (refusal: Refused) {
+            if (!isRecorded(name)) throw refusal
         }
-            ?: throw sessionClosed()
+    }
+
+    /** Whether this node knows the job. Throws [Refused] if the request's number belongs to another one. */
+    private suspend fun isKnown(name: JobName): Boolean {
+        val (known, conflicts) = sessionRegistry.query(name.session) {
+            (it.held(name) != null || it.state.isKnown(name)) to it.state.conflictsWith(name)
+        } ?: throw sessionClosed()
         if (conflicts) throw Refused(Fault.DeniedByDrmException, "the request's number belongs to another job")
-        if (known) return
+        return known
+    }
+
+    /** Whether the job was accepted, on the word of the state service. Throws [Refused] if that doesn't answer. */
+    private suspend fun isRecorded(name: JobName): Boolean {
+        if (!sync()) throw unavailable(STATE_SERVICE_SILENT)
+        if (isKnown(name)) return true
+        val shown = jobService.show(name.id)
+        if (shown is JobResponse.NotNow) throw unavailable(shown.reason)
+        return shown is JobResponse.State
+    }
+
+    private suspend fun submitNew(name: JobName, checked: CheckedTemplate) {
         // Of a session that isn't loaded only open jobs count here; its results are limited on the nodes that use it.
         val outstanding = sessionRegistry.query(name.session) { it.state.outstandingCount() } ?: throw sessionClosed()
         if (outstanding + (name.members ?: 1) > settings.resultsPerSession) {
-            // The limit doesn't apply to a retry of a recorded submission.
-            if (jobService.show(name.id) is JobResponse.State) return
             throw Refused(
                 Fault.TryLaterException,
                 "the session has $outstanding jobs and untaken results, the limit is ${settings.resultsPerSession}",
@@ -61,7 +82,7 @@
     }
 
     private suspend fun hold(name: JobName, checked: CheckedTemplate) {
-        if (!sync()) throw unavailable("the state service doesn't answer")
+        if (!sync()) throw unavailable(STATE_SERVICE_SILENT)
         val sessions = sessionRegistry.sessions()
         val team = sessions.filterValues { it.team == checked.spec.team }.keys
         val held = sessionRegistry.query(name.session) { it.heldCount(team) } ?: throw sessionClosed()
@@ -104,7 +125,7 @@
                 )
             }
         }
-        throw unavailable("the state service doesn't answer")
+        throw unavailable(STATE_SERVICE_SILENT)
     }
 
     /** Throws [Refused] unless the job was accepted. */
@@ -168,7 +189,7 @@
                 )
             }
         }
-        throw unavailable("the state service doesn't answer")
+        throw unavailable(STATE_SERVICE_SILENT)
     }
 
     /** Submits the held jobs whose start time has come; called on the leader. */
@@ -193,5 +214,6 @@
 
     private companion object {
         const val MAX_ATTEMPTS = 3
+        const val STATE_SERVICE_SILENT = "the state service doesn't answer"
     }
 }
