--- a/src/main/kotlin/org/elderhitch/lab/BackgroundUsers.kt
+++ b/src/main/kotlin/org/elderhitch/lab/BackgroundUsers.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.launch
 import org.elderhitch.app.ClassArchiveTraining
 import org.elderhitch.time.MonotonicInstant
+import kotlin.math.ceil
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -13,8 +14,9 @@
     private val latencies = ArrayList<Pair<MonotonicInstant, Duration>>()
     private var n = 0
 
-    /** The beginning of the injected faults; later submissions are not counted. */
-    var calmUntil: MonotonicInstant = MonotonicInstant.FOREVER
+    /** Only submissions that begin in this time are counted. */
+    var measuredFrom: MonotonicInstant = MonotonicInstant.NEVER
+    var measuredUntil: MonotonicInstant = MonotonicInstant.FOREVER
 
     suspend fun run(scope: CoroutineScope) {
         while (true) {
@@ -30,10 +32,10 @@
         }
     }
 
-    /** The 99th percentile of the latencies before [calmUntil], in milliseconds; null: there were none. */
+    /** The 99th percentile of the latencies that count, in milliseconds; null: there are none. */
     fun p99(): Long? {
-        val sorted = latencies.filter { it.first < calmUntil }.map { it.second }.sorted()
-        return sorted.getOrNull(((sorted.size - 1) * P99).toInt())?.inWholeMilliseconds
+        val sorted = latencies.filter { it.first in measuredFrom..<measuredUntil }.map { it.second }.sorted()
+        return sorted.getOrNull(ceil(sorted.size * P99).toInt() - 1)?.inWholeMilliseconds
     }
 
     private companion object {
--- a/src/main/kotlin/org/elderhitch/lab/SweepLab.kt
+++ b/src/main/kotlin/org/elderhitch/lab/SweepLab.kt
@@ -72,8 +72,9 @@
             val singleChanges = singleJobChanges.toDouble() / SINGLE_JOBS
             sweepOpen = true
             val began = time.clock.now()
+            otherUsers.measuredFrom = began
             val acceptance = acceptance(cluster, began)
-            otherUsers.calmUntil = time.clock.now()
+            otherUsers.measuredUntil = time.clock.now()
             progress(
                 "accepted after ${acceptance.took} with ${acceptance.changes} changes: ${acceptance.accepted}",
             )
