--- a/src/main/kotlin/org/elderhitch/jobs/JobCodec.kt
+++ b/src/main/kotlin/org/elderhitch/jobs/JobCodec.kt
@@ -20,8 +20,8 @@
 }
 
 /**
- * Converts jobs from and to JSON. Submissions and records in the state service have the same fields, but a submission
- * must contain all that can't be null, while a record may have been written by an earlier version, without some of them.
+ * Converts jobs from and to JSON. Submissions and records in the state service have the same fields. A submission must
+ * contain all that can't be null; a record may have been written by an earlier version, without some of them.
  */
 public object JobCodec {
     /** The maximum number of tasks of a job. */
@@ -58,7 +58,7 @@
     public fun decodeSubmission(body: JsonObject): JobSpec = decode(body, body::boolean)
 
     /**
-     * Reads a job that was accepted and stored, possibly by an earlier version: absent flags have their [FLAG_DEFAULTS].
+     * Reads a job that was accepted and stored, possibly by an earlier version: absent flags have [FLAG_DEFAULTS].
      * Throws [MalformedJson], whose message names the missing or invalid field.
      */
     public fun decodeStored(value: JsonObject): JobSpec =
