--- a/src/main/kotlin/org/elderhitch/app/JobEndpoint.kt
+++ b/src/main/kotlin/org/elderhitch/app/JobEndpoint.kt
@@ -38,7 +38,7 @@
     private suspend fun handleJob(request: Request): Response {
         val rest = request.path.removePrefix(JOBS_PATH).removePrefix("/")
         return when {
-            rest.isEmpty() -> HttpServer.requireMethod("POST", request) { toResponse(jobService.submit(request.body)) }
+            rest.isEmpty() -> HttpServer.requireMethod("POST", request) { submit(request) }
 
             rest.endsWith(CANCEL_SUFFIX) -> HttpServer.requireMethod("POST", request) {
                 cancel(rest.removeSuffix(CANCEL_SUFFIX))
@@ -50,6 +50,20 @@
         }
     }
 
+    private suspend fun submit(request: Request): Response {
+        val result = jobService.submit(request.body)
+        when (result) {
+            is JobResponse.Malformed -> logRefusal(request, result.reason)
+            is JobResponse.NeverRuns -> logRefusal(request, result.reason)
+            else -> Unit
+        }
+        return toResponse(result)
+    }
+
+    private fun logRefusal(request: Request, reason: String) {
+        log.debug("submission refused from={} reason=\"{}\"", request.remoteAddress, printable(reason))
+    }
+
     private suspend fun show(idText: String): Response {
         val id = JobId.parse(idText) ?: return toResponse(JobResponse.Unknown)
         return toResponse(jobService.show(id))
@@ -106,13 +120,15 @@
         }
         val released = jobService.release(id) { it.kind == HoldKind.ATTEMPTS }
         if (released is JobResponse.State) {
-            val printable = reason.filter { it >= ' ' && it != '"' }
-            log.info("job released job={} from={} reason=\"{}\"", id, request.remoteAddress, printable)
+            log.info("job released job={} from={} reason=\"{}\"", id, request.remoteAddress, printable(reason))
         }
         if (released != JobResponse.Unknown) return toResponse(released)
         return HttpServer.errorResponse(HttpStatus.NOT_FOUND, "no such job held by a rule")
     }
 
+    /** The text without characters that would end a quoted value or the line of the log. */
+    private fun printable(text: String): String = text.filter { it >= ' ' && it != '"' }
+
     private fun toResponse(result: JobResponse): Response = when (result) {
         is JobResponse.Accepted -> {
             val status = if (result.isNew) HttpStatus.CREATED else HttpStatus.OK
--- a/src/main/kotlin/org/elderhitch/app/Metrics.kt
+++ b/src/main/kotlin/org/elderhitch/app/Metrics.kt
@@ -18,19 +18,23 @@
     private val polls = Timer.builder("users.show").register(registry)
     private val cancellations = Timer.builder("users.withdraw").register(registry)
     private val refusals = Counter.builder("users.refused").register(registry)
+    private val invalidSubmissions = Counter.builder("users.invalid").register(registry)
 
     /** Registers a gauge whose value is computed whenever the metrics are read. */
     public fun gauge(name: String, value: () -> Number) {
         Gauge.builder(name, value).register(registry)
     }
 
-    /** Serves a user's request about jobs, and records its duration and whether the response is 503. */
+    /** Serves a user's request about jobs, and records its duration and whether it was refused, for now or for good. */
     public suspend fun recordRequest(request: Request, serve: suspend () -> Response): Response {
         val startedAt = clock.now()
         val response = serve()
         val elapsed = clock.now() - startedAt
         timerOf(request).record(elapsed.inWholeNanoseconds, TimeUnit.NANOSECONDS)
-        if (response.status == HttpStatus.SERVICE_UNAVAILABLE) refusals.increment()
+        when (response.status) {
+            HttpStatus.SERVICE_UNAVAILABLE -> refusals.increment()
+            HttpStatus.BAD_REQUEST, HttpStatus.UNPROCESSABLE_CONTENT -> invalidSubmissions.increment()
+        }
         return response
     }
 
--- a/src/test/kotlin/org/elderhitch/app/UserRequestsTest.kt
+++ b/src/test/kotlin/org/elderhitch/app/UserRequestsTest.kt
@@ -42,6 +42,8 @@
             assertEquals(422, ask("POST", "/work", job + ("cores" to 49.0)).first)
             assertEquals(422, ask("POST", "/work", job + ("lotKind" to "gang") + ("crates" to 41)).first)
             assertEquals(201, ask("POST", "/work", job + ("crates" to 41)).first)
+            val meters = ask("GET", "/status", node = "n0").second["meters"] as Map<*, *>
+            assertEquals(5.0, meters["users.invalid"])
             assertEquals(405, ask("DELETE", "/work/req-1").first)
             assertEquals(404, ask("GET", "/nowhere").first)
             platform.state.down = true
